The whole path, thin: entry, owner, bundle, claims, fakes and the demo

Cause: nothing stood yet. The design's path is built end to end over real sockets: callers' HTTP, ask/grant/done over QUIC with mutual TLS, a pool owner by rendezvous, claims in the table service, signed bundles with a compare-and-swap head, and stand-ins for engines, services and the platform.

Before: no program.

--- /dev/null
+++ b/bundle/watcher.go
@@ -0,0 +1,276 @@
+package bundle
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+const (
+	// ReadPeriod is how often an instance reads the head.
+	ReadPeriod  = time.Second
+	readTimeout = 900 * time.Millisecond
+	// StaleAfter is how long an instance may hear neither store nor peer and
+	// still serve.
+	StaleAfter = 4 * time.Second
+	// storeFirst is how long a bundle is sought in the store before a peer is asked.
+	storeFirst = 500 * time.Millisecond
+)
+
+// Guards switches protections off, to show that tests notice; the zero value has
+// them all on. Only tests set it.
+type Guards struct {
+	// ApplyLower applies whatever head is read last.
+	ApplyLower bool
+	// SkipSignatures applies bundles that nobody has signed.
+	SkipSignatures bool
+}
+
+// Accepted is a bundle in force.
+type Accepted struct {
+	Head   shelfshelf.Head
+	Bundle *shelfshelf.Bundle
+	// Encoded is the signed bundle as it lies in the object store.
+	Encoded []byte
+}
+
+// Watcher keeps an instance on the bundle in force: it reads the head of the
+// store every so often and takes heads that other instances tell. It never
+// applies a lower revision. It is safe for concurrent use.
+type Watcher struct {
+	Clock shelfshelf.Clock
+	Log   *log.Logger
+	Store *Store
+	// Peers and Live are where a bundle comes from if the store is down.
+	Peers shelfshelf.Peers
+	// Apply is called with each bundle put in force, one at a time.
+	Apply  func(*Accepted)
+	Guards Guards
+
+	mu       sync.Mutex
+	accepted *Accepted
+	trust    Trust
+	storeAt  time.Time
+	wanted   wanted
+	wake     chan struct{}
+	reads    uint64
+	refused  string
+}
+
+// wanted is the highest head heard of and who told it.
+type wanted struct {
+	head shelfshelf.Head
+	from shelfshelf.Instance
+}
+
+// Current returns the bundle in force; nil if there is none yet.
+func (w *Watcher) Current() *Accepted {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.accepted
+}
+
+// Head returns the head in force, for heartbeats.
+func (w *Watcher) Head() shelfshelf.Head {
+	if current := w.Current(); current != nil {
+		return current.Head
+	}
+	return shelfshelf.Head{}
+}
+
+// StoreContact returns when the store last answered; zero if never.
+func (w *Watcher) StoreContact() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.storeAt
+}
+
+// Reads returns how often the head was read.
+func (w *Watcher) Reads() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reads
+}
+
+// Object returns the signed bundle in force if it has that digest.
+func (w *Watcher) Object(digest string) ([]byte, bool) {
+	current := w.Current()
+	if current == nil || current.Head.Digest != digest {
+		return nil, false
+	}
+	return current.Encoded, true
+}
+
+// Heard takes a head that another instance has in force.
+func (w *Watcher) Heard(from shelfshelf.Instance, head shelfshelf.Head) {
+	if head.Revision <= w.Head().Revision {
+		return
+	}
+	w.mu.Lock()
+	if head.Revision > w.wanted.head.Revision {
+		w.wanted = wanted{head: head, from: from}
+	}
+	wake := w.waker()
+	w.mu.Unlock()
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// waker returns the channel that wakes Run; the lock is held.
+func (w *Watcher) waker() chan struct{} {
+	if w.wake == nil {
+		w.wake = make(chan struct{}, 1)
+	}
+	return w.wake
+}
+
+// Run keeps the bundle until the context ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	w.mu.Lock()
+	wake := w.waker()
+	w.mu.Unlock()
+	for {
+		w.readHead(ctx)
+		w.fetchHeard(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-wake:
+			w.fetchHeard(ctx)
+		case <-w.Clock.After(ReadPeriod/2 + rand.N(ReadPeriod)):
+		}
+	}
+}
+
+// readHead reads the head of the store and applies it if it is higher.
+func (w *Watcher) readHead(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	entry, ok, err := w.Store.Head(ctx)
+	w.mu.Lock()
+	w.reads++
+	if err == nil {
+		w.storeAt = w.Clock.Now()
+	}
+	w.mu.Unlock()
+	if err != nil {
+		w.Log.Debug("The bundle head can't be read.", "error", err)
+		return
+	}
+	if !ok || !w.newer(entry.Head) {
+		return
+	}
+	encoded, err := w.Store.Objects.GetObject(ctx, entry.Head.Digest)
+	if err != nil {
+		w.Log.Warn("The bundle can't be read.", "revision", entry.Head.Revision, "error", err)
+		return
+	}
+	w.take(ctx, entry.Head, encoded)
+}
+
+func (w *Watcher) newer(head shelfshelf.Head) bool {
+	current := w.Head()
+	return head.Revision > current.Revision || (w.Guards.ApplyLower && head != current)
+}
+
+// fetchHeard gets the bundle that another instance has told of, from the store
+// if it answers soon, else from that instance.
+func (w *Watcher) fetchHeard(ctx context.Context) {
+	w.mu.Lock()
+	want := w.wanted
+	w.mu.Unlock()
+	if !w.newer(want.head) || want.head.Revision == 0 {
+		return
+	}
+	fromStore, cancel := context.WithTimeout(ctx, storeFirst)
+	encoded, err := w.Store.Objects.GetObject(fromStore, want.head.Digest)
+	cancel()
+	if err != nil {
+		fromPeer, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		encoded, err = w.Peers.GetObject(fromPeer, want.from, want.head.Digest)
+	}
+	if err != nil {
+		w.Log.Warn("A bundle that another instance has can't be got.", "revision", want.head.Revision, "instance", want.from.ID, "error", err)
+		return
+	}
+	w.take(ctx, want.head, encoded)
+}
+
+// take checks a bundle and puts it in force.
+func (w *Watcher) take(ctx context.Context, head shelfshelf.Head, encoded []byte) {
+	accepted, err := w.check(ctx, head, encoded)
+	if err != nil {
+		w.refuse(head, err)
+		return
+	}
+	w.mu.Lock()
+	if w.accepted != nil && head.Revision <= w.accepted.Head.Revision && !w.Guards.ApplyLower {
+		w.mu.Unlock()
+		return
+	}
+	w.accepted = accepted
+	w.trust = TrustOf(accepted.Bundle)
+	w.mu.Unlock()
+	w.Log.Info("A bundle is in force.", "revision", head.Revision, "name", accepted.Bundle.Name, "digest", head.Digest)
+	w.Apply(accepted)
+}
+
+// refuse logs a bundle that can't be taken, once.
+func (w *Watcher) refuse(head shelfshelf.Head, err error) {
+	w.mu.Lock()
+	known := w.refused == head.Digest
+	w.refused = head.Digest
+	w.mu.Unlock()
+	if !known {
+		w.Log.Error("A bundle was refused.", "revision", head.Revision, "digest", head.Digest, "error", err)
+	}
+}
+
+func (w *Watcher) check(ctx context.Context, head shelfshelf.Head, encoded []byte) (*Accepted, error) {
+	if sum := sha256.Sum256(encoded); hex.EncodeToString(sum[:]) != head.Digest {
+		return nil, eris.New("the content has another digest")
+	}
+	signed, parsed, err := Open(encoded)
+	if err != nil {
+		return nil, err
+	}
+	if w.Guards.SkipSignatures {
+		return &Accepted{Head: head, Bundle: parsed, Encoded: encoded}, nil
+	}
+	if err := w.verify(ctx, signed); err != nil {
+		return nil, err
+	}
+	return &Accepted{Head: head, Bundle: parsed, Encoded: encoded}, nil
+}
+
+// verify checks the signatures against whom this instance trusts now. Bundles in
+// between may have changed the approvers, so on a failure the chain of trust is
+// followed from the store.
+func (w *Watcher) verify(ctx context.Context, signed *Signed) error {
+	w.mu.Lock()
+	trust := w.trust
+	w.mu.Unlock()
+	if trust.Threshold == 0 {
+		trust = w.Store.Trust
+	}
+	err := signed.Verify(trust.Approvers, trust.Threshold)
+	if err == nil {
+		return nil
+	}
+	before, chainErr := w.Store.CurrentTrustBefore(ctx, signed)
+	if chainErr != nil {
+		return err
+	}
+	return signed.Verify(before.Approvers, before.Threshold)
+}
