--- a/cli/program.go
+++ b/cli/program.go
@@ -86,6 +86,8 @@
 	Short string
 	// Commands is the table that help is drawn from.
 	Commands []Command
+	// Single is the command of a program that has only one.
+	Single *Command
 	// Groups gives the line of each group of commands.
 	Groups map[string]string
 }
@@ -127,6 +129,9 @@
 	if _, err := parser.AddGroup("Logging", "", &options); err != nil {
 		return p.report(env, err)
 	}
+	if p.Single != nil {
+		return p.report(env, p.runSingle(env, parser, &options, args))
+	}
 	groups := make(map[string]*flags.Command)
 	for _, command := range p.Commands {
 		if err := p.add(env, parser, groups, &options, command); err != nil {
@@ -137,6 +142,21 @@
 	return p.report(env, err)
 }
 
+// runSingle runs the only command, whose flags stand at the top.
+func (p *Program) runSingle(env *Environment, parser *flags.Parser, options *logOptions, args []string) error {
+	runner := p.Single.New()
+	parser.LongDescription = p.Single.Long
+	if _, err := parser.AddGroup("Options", "", runner); err != nil {
+		return err
+	}
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
+		return err
+	}
+	leaf := &leafCommand{env: env, options: options, runner: runner, program: p.Name}
+	return leaf.Execute(rest)
+}
+
 // add puts a command into the parser, below its group if it has one.
 func (p *Program) add(env *Environment, parser *flags.Parser, groups map[string]*flags.Command, options *logOptions, command Command) error {
 	parent := parser.Command
