--- a/schedule/decide.go
+++ b/schedule/decide.go
@@ -30,12 +30,17 @@
 	p.expire(now)
 	decisions := p.refusals
 	p.refusals = nil
+	if now.Sub(p.blockedAt) >= blockedFor {
+		p.unblock()
+	}
 	decisions = p.grantAged(now, decisions)
-	for tier := range p.line.tiers {
+	p.parkedAbove = 0
+	for tier := shelfshelf.Tier(0); tier < p.blocked; tier++ {
 		var open bool
-		decisions, open = p.grantTier(now, shelfshelf.Tier(tier), decisions)
+		decisions, open = p.grantTier(now, tier, decisions)
 		if !open {
-			break
+			p.blocked = tier
+			p.blockedAt = now
 		}
 	}
 	if len(p.refusals) > 0 {
@@ -45,6 +50,14 @@
 	return decisions
 }
 
+const (
+	// blockedFor is how long a tier without room is left alone if nothing changes
+	// but the time.
+	blockedFor = 10 * time.Millisecond
+	// parkedRetry is how often a parked request is tried again.
+	parkedRetry = 20 * time.Millisecond
+)
+
 // expire refuses the requests whose time has passed.
 func (p *Pool) expire(now time.Time) {
 	for {
@@ -92,7 +105,11 @@
 	for passed < p.tuning.ScanLimit {
 		item := p.candidate(tier, passed)
 		if item == nil {
-			return decisions, true
+			break
+		}
+		if now.Before(item.retryAt) {
+			passed++
+			continue
 		}
 		decision, result := p.tryGrant(now, item, tier)
 		switch result {
@@ -100,6 +117,7 @@
 			decisions = append(decisions, decision)
 			p.sinceAged++
 		case parked:
+			item.retryAt = now.Add(parkedRetry)
 			passed++
 		case hopeless:
 			p.giveUp(item)
@@ -107,6 +125,7 @@
 			return decisions, false
 		}
 	}
+	p.parkedAbove += passed
 	return decisions, true
 }
 
@@ -158,7 +177,7 @@
 		engine.prefillAhead += flight.uncached
 		flight.pending = engine.pending.PushBack(flight)
 	})
-	p.prefix.use(engine, ask.Prefix)
+	p.prefix.use(now, engine, ask.Prefix)
 }
 
 // choice is the best engine found so far.
@@ -168,78 +187,123 @@
 	score  float64
 	// firstToken is the predicted time to the first token, in seconds.
 	firstToken float64
+	// late says that the first token would come after it is due.
+	late bool
 }
 
 // choose weighs the engines that hold most of the prompt and the least loaded.
 // The score is the predicted time to the first token, with repeated reading
-// counted more than once, since it takes the time of others too.
+// counted more than once, since it takes the time of others too. An engine that
+// would be late is not taken while another could still be in time.
 func (p *Pool) choose(now time.Time, item *waiting, as shelfshelf.Tier) (*engineState, int, placing) {
 	p.gather(item.ask)
 	best := choice{}
 	warmest := 0
-	inTime := false
-	for _, engine := range p.candidates {
+	for _, candidate := range p.candidates {
+		engine, cached := candidate.engine, candidate.cached
 		if engine.leaving || avoids(item.ask, engine) {
 			continue
 		}
-		cached := p.cachedOn(engine, item.ask)
 		warmest = max(warmest, cached)
 		weighed, fits := p.weigh(now, engine, item.ask, cached, as)
 		if !fits {
 			continue
 		}
-		if !now.Add(time.Duration(weighed.firstToken * float64(time.Second))).After(item.due) {
-			inTime = true
-		}
-		if best.engine == nil || weighed.score < best.score {
+		weighed.late = now.Add(seconds(weighed.firstToken)).After(item.due)
+		if best.engine == nil || weighed.before(&best) {
 			best = weighed
 		}
 	}
-	if best.engine == nil {
-		if p.waitsForWarm(now, item, warmest) {
-			return nil, 0, parked
-		}
-		return nil, 0, full
-	}
-	if !inTime && p.quiet(best) {
-		return nil, 0, hopeless
+	if best.engine == nil || best.late {
+		return nil, 0, p.whyNot(now, item, best, warmest)
 	}
-	if warmest-best.cached >= p.tuning.ParkTokens && p.waitsForWarm(now, item, warmest) {
+	if warmest-best.cached >= p.tuning.ParkTokens && p.waitsForWarm(now, item) {
 		return nil, 0, parked
 	}
 	return best.engine, best.cached, placed
 }
 
-// quiet reports that waiting would not help: the engine has no work ahead.
-func (p *Pool) quiet(best choice) bool {
-	return best.engine.prefillAhead+best.engine.foreignPrefill == 0
+// before reports whether a choice is better than another.
+func (c *choice) before(other *choice) bool {
+	if c.late != other.late {
+		return !c.late
+	}
+	return c.score < other.score
+}
+
+// whyNot tells why a request is not placed: no engine could answer in time even
+// if it had nothing else to do; or those with room are too slow for it, and
+// others may pass it on to them; or there is no room.
+func (p *Pool) whyNot(now time.Time, item *waiting, best choice, warmest int) placing {
+	uncached := max(0, item.ask.PromptTokens-warmest)
+	if now.Add(p.quickest(uncached)).After(item.due) {
+		return hopeless
+	}
+	if best.engine != nil {
+		return parked
+	}
+	return full
+}
+
+// quickest returns the time in which the quickest engine without any other work
+// would read a prompt.
+func (p *Pool) quickest(uncached int) time.Duration {
+	if p.fastestRate <= 0 {
+		return 0
+	}
+	return seconds(float64(uncached) / p.fastestRate)
+}
+
+func seconds(count float64) time.Duration {
+	return time.Duration(count * float64(time.Second))
 }
 
-// gather collects the engines to weigh into p.candidates.
+// candidate is an engine to weigh and how much of the prompt it holds.
+type candidate struct {
+	engine *engineState
+	cached int
+}
+
+// gather collects the engines to weigh into p.candidates: those that hold most
+// of the prompt, found by its marks from the longest, and the least loaded.
 func (p *Pool) gather(ask shelfshelf.Ask) {
+	p.stamp++
 	p.candidates = p.candidates[:0]
-	for i := len(ask.Prefix) - 1; i >= 0 && len(p.candidates) < p.tuning.Candidates; i-- {
-		for _, engine := range p.prefix.holders[ask.Prefix[i].Hash] {
-			if len(p.candidates) >= p.tuning.Candidates {
-				break
-			}
-			if !slices.Contains(p.candidates, engine) {
-				p.candidates = append(p.candidates, engine)
-			}
-		}
+	if p.truth == nil {
+		p.gatherHolders(ask)
 	}
 	limit := len(p.candidates) + p.tuning.Candidates
 	if p.truth != nil {
-		limit = p.byLoad.Len() + len(p.candidates)
+		limit = p.byLoad.Len()
+	}
+	if limit == 0 {
+		return
 	}
 	p.byLoad.Scan(func(engine *engineState) bool {
-		if !slices.Contains(p.candidates, engine) {
-			p.candidates = append(p.candidates, engine)
+		if engine.stamp != p.stamp {
+			engine.stamp = p.stamp
+			p.candidates = append(p.candidates, candidate{engine: engine, cached: p.cachedOn(engine, ask)})
 		}
 		return len(p.candidates) < limit
 	})
 }
 
+func (p *Pool) gatherHolders(ask shelfshelf.Ask) {
+	for i := len(ask.Prefix) - 1; i >= 0; i-- {
+		for _, engine := range p.prefix.holders[ask.Prefix[i].Hash] {
+			if engine.stamp == p.stamp {
+				continue
+			}
+			engine.stamp = p.stamp
+			cached := min(ask.Prefix[i].Tokens, ask.PromptTokens)
+			p.candidates = append(p.candidates, candidate{engine: engine, cached: cached})
+			if len(p.candidates) >= p.tuning.Candidates {
+				return
+			}
+		}
+	}
+}
+
 func (p *Pool) cachedOn(engine *engineState, ask shelfshelf.Ask) int {
 	if p.truth != nil {
 		return min(p.truth.CachedTokens(engine.target.Name, ask.Prefix), ask.PromptTokens)
@@ -250,7 +314,13 @@
 // weigh scores one engine for a request; fits is false if it has no room now.
 func (p *Pool) weigh(now time.Time, engine *engineState, ask shelfshelf.Ask, cached int, as shelfshelf.Tier) (_ choice, fits bool) {
 	slow := p.slowdown(now, engine)
-	if engine.room(as, p.lowest, &p.tuning, slow) <= 0 {
+	room := engine.room(as, p.lowest, &p.tuning, slow)
+	if p.parkedAbove > 0 {
+		// Higher requests wait for an engine of their choice: a lower one may not
+		// take its last slot.
+		room--
+	}
+	if room <= 0 {
 		return choice{}, false
 	}
 	ahead := slow * engine.readSeconds(engine.prefillAhead+engine.foreignPrefill)
@@ -278,15 +348,13 @@
 
 // waitsForWarm reports whether a request may wait on for an engine that holds
 // its prompt, and notes since when it does.
-func (p *Pool) waitsForWarm(now time.Time, item *waiting, warmest int) bool {
-	if warmest < p.tuning.ParkTokens {
-		return false
-	}
+func (p *Pool) waitsForWarm(now time.Time, item *waiting) bool {
 	if item.parkedSince.IsZero() {
 		item.parkedSince = now
 	}
 	slack := item.due.Sub(item.ask.Arrived)
-	return now.Sub(item.parkedSince) < time.Duration(p.tuning.ParkShare*float64(slack))
+	bound := min(time.Duration(p.tuning.ParkShare*float64(slack)), p.tuning.ParkMost)
+	return now.Sub(item.parkedSince) < bound
 }
 
 func avoids(ask shelfshelf.Ask, engine *engineState) bool {
--- a/schedule/engine_state.go
+++ b/schedule/engine_state.go
@@ -43,17 +43,23 @@
 	pending *list.List
 	// load orders the engines; it changes only while out of the tree.
 	load float64
+	// stamp marks the engine as gathered for a request.
+	stamp uint64
 }
 
 const (
-	// slowdownWeight is the weight of a new sample of an engine's slowdown.
-	slowdownWeight = 0.25
-	maxSlowdown    = 64
+	// slowerWeight and fasterWeight are the weights of a new sample of an engine's
+	// slowdown: it is believed to be slow at once and to be well again gradually.
+	slowerWeight = 0.6
+	fasterWeight = 0.25
+	maxSlowdown  = 64
 	// overdueFactor times its prediction is when a first token counts as overdue.
 	overdueFactor = 3
 	overdueGrace  = 150 * time.Millisecond
 	// fullBatchStretch is how much longer a step takes with a full batch.
 	fullBatchStretch = 1.0
+	// chunkTokens is how much prompt an engine reads beside one decoding step.
+	chunkTokens = 512
 )
 
 func newEngineState(target shelfshelf.Target, index int) *engineState {
@@ -100,8 +106,9 @@
 
 // firstTokenSeconds predicts the time to the first token at declared speed.
 func (e *engineState) firstTokenSeconds(uncached int) float64 {
-	ahead := e.prefillAhead + e.foreignPrefill
-	return e.readSeconds(ahead+uncached) + e.stepSeconds()
+	tokens := e.prefillAhead + e.foreignPrefill + uncached
+	steps := 1 + float64(tokens)/chunkTokens
+	return e.readSeconds(tokens) + steps*e.stepSeconds()
 }
 
 // room returns how many more requests of the tier the engine may take.
@@ -141,13 +148,16 @@
 	if predicted <= 0 {
 		return
 	}
-	// Short waits are mostly noise of a step or two; they can only show that an
-	// engine is well.
-	ratio := float64(took) / float64(overdueFactor*predicted+overdueGrace)
-	e.observed = blend(e.observed, max(1, ratio*overdueFactor))
+	// Prompts of a higher priority and long answers hold a first token up too, so
+	// only what is far beyond the prediction says that the engine is slow.
+	bound := overdueFactor*predicted + overdueGrace
+	e.observed = blend(e.observed, float64(took)/float64(bound))
 }
 
 func blend(old, sample float64) float64 {
 	sample = min(max(sample, 1), maxSlowdown)
-	return old + slowdownWeight*(sample-old)
+	if sample > old {
+		return old + slowerWeight*(sample-old)
+	}
+	return old + fasterWeight*(sample-old)
 }
--- a/schedule/line.go
+++ b/schedule/line.go
@@ -20,8 +20,10 @@
 	cost float64
 	// parkedSince is when the request first waited for a warm engine.
 	parkedSince time.Time
-	age         *list.Element
-	customer    *customerLine
+	// retryAt is when a parked request is tried again.
+	retryAt  time.Time
+	age      *list.Element
+	customer *customerLine
 }
 
 // customerLine is one customer's requests of one tier, the earliest due first.
--- a/schedule/policies.go
+++ b/schedule/policies.go
@@ -32,7 +32,9 @@
 	Name string
 	// Usage says in one line what the policy does.
 	Usage string
-	New   func(Config) shelfshelf.Policy
+	// Central says that one owner decides for all entries.
+	Central bool
+	New     func(Config) shelfshelf.Policy
 }
 
 // Policies lists every policy; help, the bench and the docs are drawn from it.
@@ -40,8 +42,8 @@
 	{Name: "round-robin", Usage: roundRobinUsage, New: newRoundRobin},
 	{Name: "least-loaded", Usage: leastLoadedUsage, New: newLeastLoaded},
 	{Name: "each-alone", Usage: eachAloneUsage, New: newEachAlone},
-	{Name: "shelfshelf", Usage: poolUsage, New: newPoolPolicy},
-	{Name: "oracle", Usage: oracleUsage, New: newOracle},
+	{Name: "shelfshelf", Usage: poolUsage, Central: true, New: newPoolPolicy},
+	{Name: "oracle", Usage: oracleUsage, Central: true, New: newOracle},
 }
 
 // PolicyNamed returns the policy of that name.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -30,11 +30,21 @@
 	// refusals wait for the next Decide.
 	refusals []shelfshelf.Decision
 	// sinceAged counts grants since an aged request went ahead.
-	sinceAged  int
-	nextIndex  int
-	capacity   float64
-	candidates []*engineState
-	lowest     shelfshelf.Tier
+	sinceAged int
+	nextIndex int
+	capacity  float64
+	// fastestRate is the most prompt tokens a second that an engine reads.
+	fastestRate float64
+	candidates  []candidate
+	// stamp marks the engines gathered for the present request.
+	stamp  uint64
+	lowest shelfshelf.Tier
+	// blocked is the highest tier that found no room at blockedAt; until an
+	// engine's state changes it would find none again.
+	blocked   shelfshelf.Tier
+	blockedAt time.Time
+	// parkedAbove counts the parked requests of the tiers decided already.
+	parkedAbove int
 }
 
 // NewPool returns the shelfshelf policy for one shard.
@@ -91,6 +101,7 @@
 			delete(p.engines, name)
 		}
 	}
+	p.unblock()
 	p.countCapacity(now)
 }
 
@@ -102,11 +113,18 @@
 	slow := p.slowdown(now, engine)
 	share := float64(engine.occupied+engine.foreign) / float64(max(engine.target.Slots, 1))
 	engine.load = slow * (engine.firstTokenSeconds(0) + share*loadShareSeconds)
+	if engine.room(0, p.lowest, &p.tuning, slow) <= 0 {
+		engine.load += fullLoadSeconds
+	}
 	p.byLoad.Set(engine)
 }
 
-// loadShareSeconds is what a full batch counts in the order of load.
-const loadShareSeconds = 0.1
+const (
+	// loadShareSeconds is what a full batch counts in the order of load.
+	loadShareSeconds = 0.1
+	// fullLoadSeconds puts engines without room behind all others.
+	fullLoadSeconds = 1e6
+)
 
 func (p *Pool) slowdown(now time.Time, engine *engineState) float64 {
 	if p.truth != nil {
@@ -118,19 +136,29 @@
 // change runs an update of an engine with the engine out of the order of load.
 func (p *Pool) change(now time.Time, engine *engineState, update func()) {
 	p.byLoad.Delete(engine)
+	p.unblock()
 	update()
 	if p.engines[engine.target.Name] == engine {
 		p.place(now, engine)
 	}
 }
 
+// unblock lets every tier be tried again.
+func (p *Pool) unblock() {
+	p.blocked = shelfshelf.Tier(len(p.line.tiers))
+}
+
 // countCapacity sums the engines in units of one engine at declared speed.
 func (p *Pool) countCapacity(now time.Time) {
 	p.capacity = 0
+	p.fastestRate = 0
 	for _, engine := range p.engines {
-		if !engine.leaving {
-			p.capacity += 1 / p.slowdown(now, engine)
+		if engine.leaving {
+			continue
 		}
+		slow := p.slowdown(now, engine)
+		p.capacity += 1 / slow
+		p.fastestRate = max(p.fastestRate, engine.target.PrefillRate/slow)
 	}
 }
 
@@ -265,8 +293,7 @@
 	if completion.CacheKnown && p.engines[flight.engine.target.Name] == flight.engine {
 		cached := flight.ask.PromptTokens - flight.uncached
 		if completion.CachedTokens < cached {
-			p.prefix.mend(flight.engine, flight.ask.Prefix, completion.CachedTokens)
-			p.prefix.use(flight.engine, flight.ask.Prefix)
+			p.prefix.mend(now, flight.engine, flight.ask.Prefix, completion.CachedTokens)
 		}
 	}
 }
@@ -284,12 +311,12 @@
 }
 
 // CacheEvent takes an engine's cache event, which may be late or missing.
-func (p *Pool) CacheEvent(_ time.Time, event shelfshelf.CacheEvent) {
+func (p *Pool) CacheEvent(now time.Time, event shelfshelf.CacheEvent) {
 	engine := p.engines[event.Target]
 	if engine == nil {
 		return
 	}
-	p.prefix.event(engine, event)
+	p.prefix.event(now, engine, event)
 }
 
 // Waiting returns the number of requests in line by tier.
--- a/schedule/prefix.go
+++ b/schedule/prefix.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"slices"
+	"time"
 
 	"github.com/shelfshelf/shelfshelf"
 )
@@ -18,24 +19,36 @@
 	return &prefixIndex{holders: make(map[shelfshelf.BlockHash][]*engineState)}
 }
 
-// heldBlock is one entry of an engine's view, in order of use.
+// heldBlock is one block that an engine is thought to hold. It stands in the
+// list of our own dispatches, in that of the engine's events, or in both.
 type heldBlock struct {
 	hash shelfshelf.BlockHash
-	// tokens is what the block adds to the one before it.
+	// tokens is what the block adds to the mark before it; for our own only.
 	tokens int
+	used   time.Time
+	own    *list.Element
+	told   *list.Element
 }
 
-// prefixView is one engine's part: a model of its cache, least recent dropped.
+// prefixView is one engine's part: a model of its cache. Own holds the marks of
+// our dispatches, which together cover each prompt once, within the size of the
+// cache. Told holds the blocks that events name, which cover prompts of others
+// and of earlier owners, within as many blocks as the cache has.
 type prefixView struct {
-	blocks map[shelfshelf.BlockHash]*list.Element
-	// recent holds heldBlock, the most recently used first.
-	recent       *list.List
-	tokens       int
+	blocks map[shelfshelf.BlockHash]*heldBlock
+	// own and told hold *heldBlock, the most recently used or told first.
+	own          *list.List
+	told         *list.List
+	ownTokens    int
 	lastSequence uint64
 }
 
 func newPrefixView() *prefixView {
-	return &prefixView{blocks: make(map[shelfshelf.BlockHash]*list.Element), recent: list.New()}
+	return &prefixView{
+		blocks: make(map[shelfshelf.BlockHash]*heldBlock),
+		own:    list.New(),
+		told:   list.New(),
+	}
 }
 
 // cachedTokens returns how much of the prompt the engine is thought to hold.
@@ -48,81 +61,126 @@
 	return 0
 }
 
+// block returns an engine's block, made if need be.
+func (x *prefixIndex) block(engine *engineState, hash shelfshelf.BlockHash) *heldBlock {
+	block := engine.view.blocks[hash]
+	if block == nil {
+		block = &heldBlock{hash: hash}
+		engine.view.blocks[hash] = block
+		x.holders[hash] = append(x.holders[hash], engine)
+	}
+	return block
+}
+
 // use records that the engine has read, or is about to read, the prompt. The
 // end of a prompt is dropped before its beginning, as engines do.
-func (x *prefixIndex) use(engine *engineState, prefix []shelfshelf.PrefixMark) {
+func (x *prefixIndex) use(now time.Time, engine *engineState, prefix []shelfshelf.PrefixMark) {
+	view := engine.view
 	for i := len(prefix) - 1; i >= 0; i-- {
-		before := 0
+		block := x.block(engine, prefix[i].Hash)
+		block.used = now
+		if block.own != nil {
+			view.own.MoveToFront(block.own)
+			continue
+		}
+		block.tokens = prefix[i].Tokens
 		if i > 0 {
-			before = prefix[i-1].Tokens
+			block.tokens -= prefix[i-1].Tokens
 		}
-		x.store(engine, prefix[i].Hash, prefix[i].Tokens-before)
+		block.own = view.own.PushFront(block)
+		view.ownTokens += block.tokens
+	}
+	for view.ownTokens > engine.target.CacheTokens && view.own.Len() > 0 {
+		x.dropOwn(engine, view.own.Back().Value.(*heldBlock))
 	}
-	x.trim(engine)
 }
 
-func (x *prefixIndex) store(engine *engineState, hash shelfshelf.BlockHash, tokens int) {
-	view := engine.view
-	if element, held := view.blocks[hash]; held {
-		view.recent.MoveToFront(element)
+// dropOwn takes a block out of the list of our own dispatches.
+func (x *prefixIndex) dropOwn(engine *engineState, block *heldBlock) {
+	if block.own == nil {
 		return
 	}
-	view.blocks[hash] = view.recent.PushFront(heldBlock{hash: hash, tokens: tokens})
-	view.tokens += tokens
-	x.holders[hash] = append(x.holders[hash], engine)
+	engine.view.own.Remove(block.own)
+	engine.view.ownTokens -= block.tokens
+	block.own = nil
+	x.forgetUnheld(engine, block)
 }
 
-func (x *prefixIndex) trim(engine *engineState) {
-	for engine.view.tokens > engine.target.CacheTokens {
-		back := engine.view.recent.Back()
-		if back == nil {
-			return
-		}
-		x.drop(engine, back.Value.(heldBlock).hash)
+// dropTold takes a block out of the list of the engine's events.
+func (x *prefixIndex) dropTold(engine *engineState, block *heldBlock) {
+	if block.told == nil {
+		return
 	}
+	engine.view.told.Remove(block.told)
+	block.told = nil
+	x.forgetUnheld(engine, block)
 }
 
-func (x *prefixIndex) drop(engine *engineState, hash shelfshelf.BlockHash) {
-	element, held := engine.view.blocks[hash]
-	if !held {
+// forgetUnheld forgets a block that stands in neither list.
+func (x *prefixIndex) forgetUnheld(engine *engineState, block *heldBlock) {
+	if block.own != nil || block.told != nil {
 		return
 	}
-	engine.view.tokens -= element.Value.(heldBlock).tokens
-	engine.view.recent.Remove(element)
-	delete(engine.view.blocks, hash)
-	left := slices.DeleteFunc(x.holders[hash], func(other *engineState) bool { return other == engine })
-	if len(left) == 0 {
-		delete(x.holders, hash)
+	delete(engine.view.blocks, block.hash)
+	holders := x.holders[block.hash]
+	if len(holders) == 1 {
+		delete(x.holders, block.hash)
 		return
 	}
-	x.holders[hash] = left
+	at := slices.Index(holders, engine)
+	holders[at] = holders[len(holders)-1]
+	x.holders[block.hash] = holders[:len(holders)-1]
+}
+
+func (x *prefixIndex) drop(engine *engineState, block *heldBlock) {
+	x.dropOwn(engine, block)
+	x.dropTold(engine, block)
 }
 
-// mend corrects the view by how much of a prompt the engine really held.
-func (x *prefixIndex) mend(engine *engineState, prefix []shelfshelf.PrefixMark, found int) {
+// mend corrects the view by how much of a prompt the engine really held when it
+// began to read it; now it holds the prompt.
+func (x *prefixIndex) mend(now time.Time, engine *engineState, prefix []shelfshelf.PrefixMark, found int) {
 	for _, mark := range prefix {
-		if mark.Tokens > found {
-			x.drop(engine, mark.Hash)
+		if block := engine.view.blocks[mark.Hash]; block != nil && mark.Tokens > found {
+			x.drop(engine, block)
 		}
 	}
+	x.use(now, engine, prefix)
 }
 
-func (x *prefixIndex) event(engine *engineState, event shelfshelf.CacheEvent) {
-	if event.Sequence <= engine.view.lastSequence {
+// eventAge is how old a cache event may be: a block that we had read later than
+// that may have come back since it was dropped.
+const eventAge = 5 * time.Second
+
+func (x *prefixIndex) event(now time.Time, engine *engineState, event shelfshelf.CacheEvent) {
+	view := engine.view
+	if event.Sequence <= view.lastSequence {
 		return
 	}
-	engine.view.lastSequence = event.Sequence
+	view.lastSequence = event.Sequence
 	for _, hash := range event.Removed {
-		x.drop(engine, hash)
+		block := view.blocks[hash]
+		if block == nil {
+			continue
+		}
+		x.dropTold(engine, block)
+		if now.Sub(block.used) > eventAge {
+			x.dropOwn(engine, block)
+		}
 	}
 	for _, hash := range event.Stored {
-		x.store(engine, hash, shelfshelf.BlockTokens)
+		block := x.block(engine, hash)
+		if block.told == nil {
+			block.told = view.told.PushFront(block)
+		}
+	}
+	for view.told.Len() > engine.target.CacheTokens/shelfshelf.BlockTokens {
+		x.dropTold(engine, view.told.Back().Value.(*heldBlock))
 	}
-	x.trim(engine)
 }
 
 func (x *prefixIndex) forget(engine *engineState) {
-	for hash := range engine.view.blocks {
-		x.drop(engine, hash)
+	for _, block := range engine.view.blocks {
+		x.drop(engine, block)
 	}
 }
--- a/schedule/tuning.go
+++ b/schedule/tuning.go
@@ -19,6 +19,8 @@
 	// ParkShare is the share of its slack that a request may wait for an engine
 	// that holds its prompt.
 	ParkShare float64
+	// ParkMost bounds that wait.
+	ParkMost time.Duration
 	// ParkTokens is the least held prompt, in tokens, worth waiting for.
 	ParkTokens int
 	// SlowFrom is the observed slowdown from which an engine gets fewer slots.
@@ -43,6 +45,7 @@
 		PrefillAheadLowest: 150 * time.Millisecond,
 		RecomputeWeight:    2,
 		ParkShare:          0.3,
+		ParkMost:           3 * time.Second,
 		ParkTokens:         512,
 		SlowFrom:           1.5,
 		AgedEvery:          16,
