--- a/bench/target.go
+++ b/bench/target.go
@@ -16,11 +16,10 @@
 	dead     bool
 	leaving  bool
 	// calls are a plain service's: running and waiting.
-	running  int
-	waiting  []*request
-	slow     float64
-	entries  map[shelfshelf.RequestID]bool
-	reported shelfshelf.LoadReport
+	running int
+	waiting []*request
+	slow    float64
+	entries map[shelfshelf.RequestID]bool
 }
 
 func newSimTarget(s *sim, target shelfshelf.Target) *simTarget {
--- a/schedule/decide.go
+++ b/schedule/decide.go
@@ -101,13 +101,13 @@
 // grantTier grants what it can of one tier; open is false if the tier is left
 // with requests for which there is no room.
 func (p *Pool) grantTier(now time.Time, tier shelfshelf.Tier, decisions []shelfshelf.Decision) (_ []shelfshelf.Decision, open bool) {
-	passed := 0
-	for passed < p.tuning.ScanLimit {
+	for passed := 0; passed < p.tuning.ScanLimit; {
 		item := p.candidate(tier, passed)
 		if item == nil {
-			break
+			p.parkedAbove += passed
+			return decisions, true
 		}
-		if now.Before(item.retryAt) {
+		if now.Before(item.retryAt) && (item.triedAt == p.changes || !p.waitsBelow(tier)) {
 			passed++
 			continue
 		}
@@ -118,6 +118,7 @@
 			p.sinceAged++
 		case parked:
 			item.retryAt = now.Add(parkedRetry)
+			item.triedAt = p.changes
 			passed++
 		case hopeless:
 			p.giveUp(item)
@@ -125,8 +126,19 @@
 			return decisions, false
 		}
 	}
-	p.parkedAbove += passed
-	return decisions, true
+	// Behind so many there may be one that could be placed now, so no lower tier
+	// may go before it.
+	return decisions, false
+}
+
+// waitsBelow reports whether a lower tier has requests that would pass.
+func (p *Pool) waitsBelow(tier shelfshelf.Tier) bool {
+	for _, lower := range p.line.tiers[tier+1:] {
+		if lower.byAge.Len() > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // candidate returns the tier's next request after passing over some.
--- a/schedule/line.go
+++ b/schedule/line.go
@@ -20,8 +20,10 @@
 	cost float64
 	// parkedSince is when the request first waited for a warm engine.
 	parkedSince time.Time
-	// retryAt is when a parked request is tried again.
+	// retryAt is when a parked request is tried again, or sooner if a lower one
+	// would pass it and an engine has changed since triedAt.
 	retryAt  time.Time
+	triedAt  uint64
 	age      *list.Element
 	customer *customerLine
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -43,6 +43,8 @@
 	// engine's state changes it would find none again.
 	blocked   shelfshelf.Tier
 	blockedAt time.Time
+	// changes counts the changes of engines.
+	changes uint64
 	// parkedAbove counts the parked requests of the tiers decided already.
 	parkedAbove int
 }
@@ -137,6 +139,7 @@
 func (p *Pool) change(now time.Time, engine *engineState, update func()) {
 	p.byLoad.Delete(engine)
 	p.unblock()
+	p.changes++
 	update()
 	if p.engines[engine.target.Name] == engine {
 		p.place(now, engine)
--- a/schedule/tuning.go
+++ b/schedule/tuning.go
@@ -46,12 +46,12 @@
 		RecomputeWeight:    2,
 		ParkShare:          0.3,
 		ParkMost:           3 * time.Second,
-		ParkTokens:         512,
+		ParkTokens:         1024,
 		SlowFrom:           1.5,
 		AgedEvery:          16,
 		GrantValid:         2 * time.Second,
 		MaxWaiting:         20000,
 		Candidates:         8,
-		ScanLimit:          32,
+		ScanLimit:          128,
 	}
 }
