--- a/bundle/watcher.go
+++ b/bundle/watcher.go
@@ -86,7 +86,8 @@
 	return shelfshelf.Head{}
 }
 
-// StoreContact returns when the store last answered; zero if never.
+// StoreContact returns when the head of the store was last found in force here;
+// zero if never.
 func (w *Watcher) StoreContact() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -115,7 +116,8 @@
 		return
 	}
 	w.mu.Lock()
-	if head.Revision > w.wanted.head.Revision {
+	if head.Revision >= w.wanted.head.Revision {
+		// Whoever told it last is the likeliest to answer.
 		w.wanted = wanted{head: head, from: from}
 	}
 	wake := w.waker()
@@ -152,30 +154,34 @@
 	}
 }
 
-// readHead reads the head of the store and applies it if it is higher.
+// readHead reads the head of the store and applies it if it is higher. Only a
+// read after which the head is in force here counts as contact with the store,
+// and from the instant it was begun.
 func (w *Watcher) readHead(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	began := w.Clock.Now()
 	entry, ok, err := w.Store.Head(ctx)
 	w.mu.Lock()
 	w.reads++
-	if err == nil {
-		w.storeAt = w.Clock.Now()
-	}
 	w.mu.Unlock()
 	if err != nil {
 		w.Log.Debug("The bundle head can't be read.", "error", err)
 		return
 	}
-	if !ok || !w.newer(entry.Head) {
-		return
+	if ok && w.newer(entry.Head) {
+		encoded, err := w.Store.Objects.GetObject(ctx, entry.Head.Digest)
+		if err != nil {
+			w.Log.Warn("The bundle can't be read.", "revision", entry.Head.Revision, "error", err)
+			return
+		}
+		w.take(ctx, entry.Head, encoded)
 	}
-	encoded, err := w.Store.Objects.GetObject(ctx, entry.Head.Digest)
-	if err != nil {
-		w.Log.Warn("The bundle can't be read.", "revision", entry.Head.Revision, "error", err)
-		return
+	if w.Head().Revision >= entry.Head.Revision {
+		w.mu.Lock()
+		w.storeAt = began
+		w.mu.Unlock()
 	}
-	w.take(ctx, entry.Head, encoded)
 }
 
 func (w *Watcher) newer(head shelfshelf.Head) bool {
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -21,6 +21,8 @@
 	cleanUpTries = 200
 	// cleanUpPause is between such tries.
 	cleanUpPause = 500 * time.Millisecond
+	// cleanUpAtEnd is how long a stopping instance goes on with it.
+	cleanUpAtEnd = 3 * time.Second
 )
 
 // Guards switches protections off, to show that tests notice; the zero value
@@ -49,6 +51,8 @@
 	once    sync.Once
 	writer  *writer
 	cleanUp sync.WaitGroup
+	// ended is closed when claims are cleaned up no longer.
+	ended chan struct{}
 }
 
 // Claim is a confirmed right to dispatch a call once.
@@ -61,18 +65,32 @@
 func (c *Claims) start() *writer {
 	c.once.Do(func() {
 		c.writer = newWriter(c.Table, c.Clock)
+		c.ended = make(chan struct{})
 	})
 	return c.writer
 }
 
-// Run writes claims in groups until the context ends, and then waits for claims
-// that are being cleaned up.
+// Run writes claims in groups until the context ends, and then lets claims be
+// cleaned up a little longer.
 func (c *Claims) Run(ctx context.Context) error {
 	err := c.start().Run(ctx)
-	c.cleanUp.Wait()
+	cleaned := make(chan struct{})
+	go c.runWait(cleaned)
+	select {
+	case <-cleaned:
+	case <-c.Clock.After(cleanUpAtEnd):
+	}
+	close(c.ended)
+	<-cleaned
 	return err
 }
 
+// runWait waits for the claims that are being cleaned up.
+func (c *Claims) runWait(cleaned chan<- struct{}) {
+	c.cleanUp.Wait()
+	close(cleaned)
+}
+
 // Writes returns how many transactions the claims took and how many rows they
 // wrote.
 func (c *Claims) Writes() (transactions, rows uint64) {
@@ -226,6 +244,11 @@
 	}
 	released := a.claim.row
 	released.state = stateReleased
+	select {
+	case <-a.claims.ended:
+		return
+	default:
+	}
 	a.claims.cleanUp.Add(1)
 	go a.claims.runRelease(a.claim.key, a.version, released)
 }
@@ -247,7 +270,11 @@
 			version = stored.Version
 			continue
 		}
-		<-c.Clock.After(cleanUpPause)
+		select {
+		case <-c.ended:
+			return
+		case <-c.Clock.After(cleanUpPause):
+		}
 	}
 	c.Log.Warn("A claim that was not used could not be released.", "key", key)
 }
@@ -277,6 +304,9 @@
 		if err == nil || errors.Is(err, shelfshelf.ErrConflict) {
 			return nil
 		}
+		if errors.Is(err, ErrStopped) {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 			return eris.Wrap(err, "claim left unsettled")
--- a/cli/entry_run.go
+++ b/cli/entry_run.go
@@ -39,21 +39,23 @@
 	client := platform.NewClient(read.Platform.Address)
 	client.Timeout = read.Platform.Timeout
 	i := &instance.Instance{
-		Clock:       clock,
-		Log:         env.Log,
-		ID:          read.Instance,
-		DataCentre:  read.DataCentre,
-		PeerAddress: read.PeerAddress,
-		Peers:       read.Peers,
-		Table:       client,
-		Objects:     client,
-		List:        client,
-		Trust:       read.Trust,
-		Alone:       read.PeerListen == "",
-		DrainDelay:  read.DrainDelay,
-		StopLimit:   read.StopLimit,
-		MaxBody:     read.MaxBody,
-		MaxConns:    read.MaxConnections,
+		Core: instance.Core{
+			Clock:       clock,
+			Log:         env.Log,
+			ID:          read.Instance,
+			DataCentre:  read.DataCentre,
+			PeerAddress: read.PeerAddress,
+			Static:      read.Peers,
+			Table:       client,
+			Objects:     client,
+			List:        client,
+			Trust:       read.Trust,
+			Alone:       read.PeerListen == "",
+			MaxBody:     read.MaxBody,
+		},
+		DrainDelay: read.DrainDelay,
+		StopLimit:  read.StopLimit,
+		MaxConns:   read.MaxConnections,
 	}
 	if err := listen(i, read); err != nil {
 		return err
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -1,6 +1,9 @@
 package shelfshelf
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Heartbeat is what instances tell each other every so often, both ways.
 type Heartbeat struct {
@@ -9,6 +12,10 @@
 	Incarnation uint64
 	// Head is the bundle in force at the sender.
 	Head Head
+	// StoreSeen says that the sender knows of a read of the store's head, by itself
+	// or by another instance, StoreAge ago.
+	StoreSeen bool
+	StoreAge  time.Duration
 	// Leaving lists targets that the sender knows to be leaving.
 	Leaving []TargetName
 	// Known lists the instances that the sender hears.
--- a/member/members.go
+++ b/member/members.go
@@ -41,17 +41,20 @@
 	Peers  shelfshelf.Peers
 	// Head returns the bundle in force here, for heartbeats.
 	Head func() shelfshelf.Head
+	// StoreAt returns when this instance last read the store's head; zero if never.
+	StoreAt func() time.Time
 	// HeadHeard is called with each head heard and who told it.
 	HeadHeard func(from shelfshelf.Instance, head shelfshelf.Head)
 	// Changed is called, outside locks, after the live instances or the leaving
 	// targets have changed.
 	Changed func()
 
-	mu       sync.Mutex
-	others   map[shelfshelf.InstanceID]*other
-	leaving  map[shelfshelf.TargetName]leavingMark
-	lastList time.Time
-	view     []shelfshelf.Instance
+	mu      sync.Mutex
+	others  map[shelfshelf.InstanceID]*other
+	leaving map[shelfshelf.TargetName]leavingMark
+	// relayedAt is when the store's head was last read by others, as they tell.
+	relayedAt time.Time
+	view      []shelfshelf.Instance
 }
 
 // leavingMark is how long a target counts as leaving. Only what an instance
@@ -68,6 +71,10 @@
 	incarnation uint64
 	// heard is when it last answered or sent a heartbeat; zero if never.
 	heard time.Time
+	// answered is when we sent the latest heartbeat that it has answered. Unlike
+	// heard it can't be late: a message may be held up on its way, or in a process
+	// that stands still, for any time.
+	answered time.Time
 	// told is when anyone last named it.
 	told time.Time
 }
@@ -109,25 +116,34 @@
 	return live
 }
 
-// Contact returns when another instance, and when the platform's list, was last
-// heard; zero if never.
-func (m *Members) Contact() (peer, list time.Time) {
+// StoreSeenAt returns when the store's head was last read, by this instance or
+// by one that it has heard from, however far; zero if never.
+func (m *Members) StoreSeenAt() time.Time {
+	own := m.StoreAt()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, o := range m.others {
-		if o.heard.After(peer) {
-			peer = o.heard
-		}
+	if m.relayedAt.After(own) {
+		return m.relayedAt
 	}
-	return peer, m.lastList
+	return own
 }
 
-// Known reports whether any other instance is known at all.
-func (m *Members) Known() bool {
+// HearsMost reports whether this instance has lately heard more than half of
+// the instances that it knows, itself included. While the store is down, such
+// a part goes on: no other part can say the same.
+func (m *Members) HearsMost(within time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
-	return len(m.others) > 0
+	now := m.Clock.Now()
+	heard, known := 1, 1
+	for _, o := range m.others {
+		known++
+		if !o.answered.IsZero() && now.Sub(o.answered) < within {
+			heard++
+		}
+	}
+	return 2*heard > known
 }
 
 // LeavingTargets returns the targets known to be leaving, by name.
@@ -184,10 +200,15 @@
 
 // Beat returns this instance's heartbeat.
 func (m *Members) Beat() shelfshelf.Heartbeat {
+	storeAt := m.StoreSeenAt()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
 	beat := shelfshelf.Heartbeat{From: m.Self, Incarnation: m.Incarnation, Head: m.Head()}
+	if !storeAt.IsZero() {
+		beat.StoreSeen = true
+		beat.StoreAge = m.Clock.Now().Sub(storeAt)
+	}
 	beat.Leaving = m.leavingNow(true)
 	for _, instance := range m.live() {
 		if instance.ID != m.Self.ID {
@@ -300,6 +321,7 @@
 func (m *Members) runBeat(ctx context.Context, to shelfshelf.Instance, beat shelfshelf.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
+	sent := m.Clock.Now()
 	answer, err := m.Peers.Heartbeat(ctx, to, beat)
 	if err != nil {
 		m.Log.Debug("An instance did not answer.", "instance", to.ID, "error", err)
@@ -307,6 +329,22 @@
 	}
 	if answer.From.ID == to.ID {
 		m.Heard(answer)
+		m.answered(answer, sent)
+	}
+}
+
+// answered notes what an answer to a heartbeat of ours proves: that the other
+// side, and what it tells of the store, are no older than our question. What it
+// tells of the store counts only if its bundle is in force here too.
+func (m *Members) answered(answer shelfshelf.Heartbeat, sent time.Time) {
+	upToDate := m.Head().Revision >= answer.Head.Revision
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o := m.others[answer.From.ID]; o != nil && sent.After(o.answered) {
+		o.answered = sent
+	}
+	if at := sent.Add(-answer.StoreAge); answer.StoreSeen && upToDate && at.After(m.relayedAt) {
+		m.relayedAt = at
 	}
 }
 
@@ -331,7 +369,6 @@
 	}
 	m.mu.Lock()
 	m.init()
-	m.lastList = m.Clock.Now()
 	for _, instance := range instances {
 		m.learn(instance)
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -81,6 +81,8 @@
 		Digest      string         `cbor:"4,keyasint,omitempty"`
 		Leaving     []string       `cbor:"5,keyasint,omitempty"`
 		Known       []wireInstance `cbor:"6,keyasint,omitempty"`
+		// StoreMicros is 0 if the sender knows of no read of the store.
+		StoreMicros int64 `cbor:"7,keyasint,omitempty"`
 	}
 	wireInstance struct {
 		ID         string `cbor:"1,keyasint"`
@@ -253,6 +255,9 @@
 		Revision:    uint64(beat.Head.Revision),
 		Digest:      beat.Head.Digest,
 	}
+	if beat.StoreSeen {
+		wire.StoreMicros = beat.StoreAge.Microseconds() | 1
+	}
 	for _, target := range beat.Leaving {
 		wire.Leaving = append(wire.Leaving, string(target))
 	}
@@ -268,6 +273,10 @@
 		Incarnation: w.Incarnation,
 		Head:        shelfshelf.Head{Revision: shelfshelf.Revision(w.Revision), Digest: w.Digest},
 	}
+	if w.StoreMicros != 0 {
+		beat.StoreSeen = true
+		beat.StoreAge = micros(w.StoreMicros)
+	}
 	for _, target := range w.Leaving {
 		beat.Leaving = append(beat.Leaving, shelfshelf.TargetName(target))
 	}
