--- a/schedule/engine_state.go
+++ b/schedule/engine_state.go
@@ -39,6 +39,8 @@
 	reported float64
 	observed float64
 	leaving  bool
+	// removed says that the bundle no longer has the target.
+	removed bool
 	// pending holds *inFlight without a first token, the oldest first.
 	pending *list.List
 	// load orders the engines; it changes only while out of the tree.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -93,20 +93,30 @@
 		p.byLoad.Delete(engine)
 		engine.target = target
 		engine.leaving = target.Leaving
+		engine.removed = false
 		p.place(now, engine)
 	}
 	for name, engine := range p.engines {
 		if !kept[name] {
 			p.byLoad.Delete(engine)
 			engine.leaving = true
+			engine.removed = true
 			p.prefix.forget(engine)
-			delete(p.engines, name)
+			p.forgetRemoved(engine)
 		}
 	}
 	p.unblock()
 	p.countCapacity(now)
 }
 
+// forgetRemoved forgets a target that has gone once nothing of ours is on it: it
+// may come back before, with its slots still taken.
+func (p *Pool) forgetRemoved(engine *engineState) {
+	if engine.removed && engine.occupied == 0 {
+		delete(p.engines, engine.target.Name)
+	}
+}
+
 // place puts an engine into the order of load; it must not be in it.
 func (p *Pool) place(now time.Time, engine *engineState) {
 	if engine.leaving {
@@ -141,9 +151,7 @@
 	p.unblock()
 	p.changes++
 	update()
-	if p.engines[engine.target.Name] == engine {
-		p.place(now, engine)
-	}
+	p.place(now, engine)
 }
 
 // unblock lets every tier be tried again.
@@ -293,7 +301,8 @@
 		p.settle(flight)
 		flight.engine.occupied--
 	})
-	if completion.CacheKnown && p.engines[flight.engine.target.Name] == flight.engine {
+	p.forgetRemoved(flight.engine)
+	if completion.CacheKnown && !flight.engine.removed {
 		cached := flight.ask.PromptTokens - flight.uncached
 		if completion.CachedTokens < cached {
 			p.prefix.mend(now, flight.engine, flight.ask.Prefix, completion.CachedTokens)
