shelfload control; heartbeats name two others instead of all, idle shards rest

Cause: at 7 instances an idle one sent 10.1 KB/s, over the target's 10 KB/s, growing with the square (each heartbeat named every instance); and spent 2.5% of a core plus 0.16% a pool, since every shard woke 100 times a second. Ruled out: QUIC's keep-alives (10 packets/s a neighbour both before and after). Linear in instances now; at 360 a full mesh still breaks the budget, docs/CAPACITY.md says what must carry it.

--- a/cli/fake.go
+++ b/cli/fake.go
@@ -63,9 +63,9 @@
 	return nil
 }
 
-// control adds what tests and people use to make a stand-in misbehave: POST
+// withControl adds what tests and people use to make a stand-in misbehave: POST
 // /control takes the settings as JSON, GET /control/runs tells what was run.
-func control[T any](handler http.Handler, set func(T), runs func() any) http.Handler {
+func withControl[T any](handler http.Handler, set func(T), runs func() any) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathControl, func(w http.ResponseWriter, r *http.Request) {
 		var wire T
@@ -125,7 +125,7 @@
 		}
 	}
 	runs := func() any { reads, writes := store.Counts(); return map[string]int{"reads": reads, "writes": writes} }
-	return c.serve(env, control((&platform.Server{Backend: store}).Handler(), set, runs), waitEnd)
+	return c.serve(env, withControl((&platform.Server{Backend: store}).Handler(), set, runs), waitEnd)
 }
 
 // fakeEngineCommand runs an engine.
@@ -168,7 +168,7 @@
 		engine.SetLeaving(wire.Leaving)
 		engine.CutStreams(wire.CutStreams)
 	}
-	return c.serve(env, control(engine.Handler(), set, func() any { return engine.Runs() }), engine.Run)
+	return c.serve(env, withControl(engine.Handler(), set, func() any { return engine.Runs() }), engine.Run)
 }
 
 // fakeServiceCommand runs a plain service.
@@ -203,5 +203,5 @@
 	runs := func() any {
 		return map[string]any{"requests": service.Runs(), "keys": service.KeyRuns()}
 	}
-	return c.serve(env, control(service.Handler(), set, runs), waitEnd)
+	return c.serve(env, withControl(service.Handler(), set, runs), waitEnd)
 }
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -198,6 +198,12 @@
 	c.content[field] = value
 }
 
+// Append adds an item to a list at the top of the bundle that Roll rolls next.
+func (c *Cluster) Append(field string, item any) {
+	list, _ := c.content[field].([]any)
+	c.content[field] = append(list, item)
+}
+
 // Roll signs the bundle as it stands and rolls it.
 func (c *Cluster) Roll(ctx context.Context, by string) (bundle.Entry, error) {
 	content, err := json.MarshalIndent(c.content, "", "  ")
--- a/member/members.go
+++ b/member/members.go
@@ -26,6 +26,8 @@
 	// leavingKept is how long a target counts as leaving after it was last said.
 	leavingKept = 30 * time.Second
 	jitterShare = 0.2
+	// sampleSize is how many other instances a heartbeat names.
+	sampleSize = 2
 )
 
 // Members keeps the live instances. It is safe for concurrent use.
@@ -210,14 +212,19 @@
 		beat.StoreAge = m.Clock.Now().Sub(storeAt)
 	}
 	beat.Leaving = m.leavingNow(true)
-	for _, instance := range m.live() {
-		if instance.ID != m.Self.ID {
-			beat.Known = append(beat.Known, instance)
-		}
-	}
+	beat.Known = m.sample()
 	return beat
 }
 
+// sample returns a few of the live instances, others at each call: in a second
+// or two they have all been named, and a heartbeat stays small.
+func (m *Members) sample() []shelfshelf.Instance {
+	live := m.live()
+	live = slices.DeleteFunc(live, func(i shelfshelf.Instance) bool { return i.ID == m.Self.ID })
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(len(live), sampleSize)]
+}
+
 // Heard takes another instance's heartbeat, sent or answered. A beat of an
 // earlier incarnation is ignored.
 func (m *Members) Heard(beat shelfshelf.Heartbeat) {
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -27,6 +27,8 @@
 	// notBefore is when a new owner begins to grant.
 	notBefore time.Time
 	counts    Counts
+	// wake ends the rest of a shard without a line.
+	wake chan struct{}
 }
 
 // Counts is what a shard has decided since it began.
@@ -44,6 +46,7 @@
 		waiters: make(map[shelfshelf.RequestID]chan shelfshelf.Decision),
 		granted: make(map[shelfshelf.RequestID]shelfshelf.TargetName),
 		counts:  Counts{Refused: make(map[shelfshelf.RefusalReason]uint64)},
+		wake:    make(chan struct{}, 1),
 	}
 }
 
@@ -71,7 +74,14 @@
 	s.counts.Asked++
 	s.Policy.Ask(s.Clock.Now(), ask)
 	s.decide()
+	waits := len(s.waiters) > 0
 	s.mu.Unlock()
+	if waits {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
 	select {
 	case decision := <-answer:
 		return decision, nil
@@ -182,16 +192,24 @@
 	}
 }
 
-// Run decides every so often until the context ends.
+// Run decides every so often while anyone waits, until the context ends.
 func (s *Shard) Run(ctx context.Context) error {
 	for {
+		s.mu.Lock()
+		s.decide()
+		waits := len(s.waiters) > 0
+		s.mu.Unlock()
+		if !waits {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-s.wake:
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.Clock.After(tickPeriod):
 		}
-		s.mu.Lock()
-		s.decide()
-		s.mu.Unlock()
 	}
 }
