Targets that refuse rest for a while; a dead owner is noticed in 0.4 s

Ruled out: the hand-over itself (with one grant of warm-up). Now a refusal rests the target for 100 ms, doubling to 3 s, and an owner that has not decided within 50 ms says that the ask is in line; an entry that hears nothing for 0.4 s decides alone and takes its other asks back.

--- a/bench/target.go
+++ b/bench/target.go
@@ -195,6 +195,7 @@
 		ID:           r.id,
 		Target:       t.target.Name,
 		Outcome:      outcome,
+		Refused:      outcome == shelfshelf.OutcomeNotRun,
 		OutputTokens: r.item.OutputTokens,
 		CacheKnown:   outcome == shelfshelf.OutcomeDone && t.target.Kind == shelfshelf.KindEngine,
 		CachedTokens: cached,
--- a/entry/server.go
+++ b/entry/server.go
@@ -267,6 +267,7 @@
 		completion.Outcome = shelfshelf.OutcomeDone
 	case errors.Is(err, shelfshelf.ErrNotRun):
 		completion.Outcome = shelfshelf.OutcomeNotRun
+		completion.Refused = ctx.Err() == nil
 	default:
 		completion.Outcome = shelfshelf.OutcomeUnknown
 	}
--- a/owner/router.go
+++ b/owner/router.go
@@ -292,15 +292,31 @@
 			r.mu.Unlock()
 		case errors.Is(err, shelfshelf.ErrOwnerUnreachable):
 			r.Log.Warn("The owner of a pool can't be reached, deciding alone.", "pool", ask.Pool, "owner", way.owner.ID, "error", err)
-			r.mu.Lock()
-			r.avoided[way.owner.ID] = r.Clock.Now().Add(avoidOwnerFor)
-			r.mu.Unlock()
+			r.avoid(way.owner.ID)
 		default:
 			return nil, err
 		}
 	}
 }
 
+// avoid asks an owner nothing for a while, and takes back what is in its line:
+// an owner that does not answer one ask will not decide on the others.
+func (r *Router) avoid(owner shelfshelf.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	if now.Before(r.avoided[owner]) {
+		return
+	}
+	r.avoided[owner] = now.Add(avoidOwnerFor)
+	for _, p := range r.pools {
+		if p.owner == owner {
+			close(p.moved)
+			p.moved = make(chan struct{})
+		}
+	}
+}
+
 var errMoved = errors.New("the pool has another owner")
 
 // askOnce asks one owner until it decides or the pool moves.
--- a/peer/node.go
+++ b/peer/node.go
@@ -29,6 +29,10 @@
 	// releaseAfter is how long the requests of a lost entry stay counted on
 	// their targets: their engines may still work on them.
 	releaseAfter = 10 * time.Second
+	// waitNoticeAfter is when an owner that has not decided says that it lives,
+	// and noticeWithin when an entry that has heard nothing takes it for dead.
+	waitNoticeAfter = 50 * time.Millisecond
+	noticeWithin    = 400 * time.Millisecond
 
 	codeClosed    quic.ApplicationErrorCode = 0
 	codeCancelled quic.StreamErrorCode      = 1
@@ -235,7 +239,7 @@
 			return err
 		}
 		return n.serveAsk(ctx, stream, kind, &wire)
-	case kindDecision, kindFirstToken, kindDone, kindObject, kindMissing:
+	case kindDecision, kindFirstToken, kindDone, kindObject, kindMissing, kindWait:
 	}
 	return eris.Wrapf(ErrFrame, "message of kind %d begins a stream", kind)
 }
@@ -252,7 +256,10 @@
 		defer cancel()
 		follower.lost = cancel
 		go follower.run()
+		waiting := &waitNotice{clock: n.Clock, stream: stream, done: make(chan struct{}), ended: make(chan struct{})}
+		go waiting.run()
 		decision, err := n.Handler.AskOwner(asking, ask)
+		waiting.end()
 		if err != nil {
 			return err
 		}
@@ -272,6 +279,30 @@
 	return n.follow(ctx, follower, ask, target)
 }
 
+// waitNotice tells an entry, once, that its ask is in line, so that it can tell a
+// long line from a dead owner.
+type waitNotice struct {
+	clock  shelfshelf.Clock
+	stream *quic.Stream
+	done   chan struct{}
+	ended  chan struct{}
+}
+
+func (w *waitNotice) run() {
+	defer close(w.ended)
+	select {
+	case <-w.done:
+	case <-w.clock.After(waitNoticeAfter):
+		_ = writeFrame(w.stream, kindWait, struct{}{})
+	}
+}
+
+// end waits until the notice is either written or will never be.
+func (w *waitNotice) end() {
+	close(w.done)
+	<-w.ended
+}
+
 // follow takes a granted request's messages. If the entry is lost, the request
 // stays counted for a bounded time.
 func (n *Node) follow(ctx context.Context, follower *follower, ask shelfshelf.Ask, target shelfshelf.TargetName) error {
@@ -456,8 +487,9 @@
 		stream.CancelWrite(codeCancelled)
 	})
 	defer stop()
-	_, payload, err := readFrame(stream)
+	payload, err := n.readDecision(stream)
 	if err != nil {
+		stream.CancelRead(codeCancelled)
 		stream.CancelWrite(codeCancelled)
 		return nil, unreachable(ctx, err)
 	}
@@ -473,6 +505,20 @@
 	return &remoteTicket{stream: stream, decision: decision}, nil
 }
 
+// readDecision reads an owner's decision. The first message, a decision or a
+// notice that the ask is in line, must come soon; after the notice the decision
+// may take as long as the line does.
+func (n *Node) readDecision(stream *quic.Stream) ([]byte, error) {
+	_ = stream.SetReadDeadline(n.Clock.Now().Add(noticeWithin))
+	kind, payload, err := readFrame(stream)
+	if err != nil || kind != kindWait {
+		return payload, err
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	_, payload, err = readFrame(stream)
+	return payload, err
+}
+
 // Hold tells a new owner of a request in flight.
 func (n *Node) Hold(ctx context.Context, to shelfshelf.Instance, ask shelfshelf.Ask, decision shelfshelf.Decision) (shelfshelf.Ticket, error) {
 	stream, err := n.open(ctx, to, kindHold, askToWire(ask, decision.Target, n.Clock.Now()))
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -24,6 +24,8 @@
 	kindGetObject
 	kindObject
 	kindMissing
+	// kindWait tells an entry that its ask is in line.
+	kindWait
 )
 
 // maxFrameBytes bounds a frame; the largest is a signed bundle.
@@ -73,6 +75,7 @@
 		OutputTokens int   `cbor:"2,keyasint"`
 		CacheKnown   bool  `cbor:"3,keyasint,omitempty"`
 		CachedTokens int   `cbor:"4,keyasint,omitempty"`
+		Refused      bool  `cbor:"5,keyasint,omitempty"`
 	}
 	wireHeartbeat struct {
 		From        wireInstance   `cbor:"1,keyasint"`
@@ -231,6 +234,7 @@
 func doneToWire(completion shelfshelf.Completion) wireDone {
 	return wireDone{
 		Outcome:      uint8(completion.Outcome),
+		Refused:      completion.Refused,
 		OutputTokens: completion.OutputTokens,
 		CacheKnown:   completion.CacheKnown,
 		CachedTokens: completion.CachedTokens,
@@ -242,6 +246,7 @@
 		ID:           id,
 		Target:       target,
 		Outcome:      shelfshelf.Outcome(w.Outcome),
+		Refused:      w.Refused,
 		OutputTokens: w.OutputTokens,
 		CacheKnown:   w.CacheKnown,
 		CachedTokens: w.CachedTokens,
--- a/request.go
+++ b/request.go
@@ -98,6 +98,9 @@
 	ID      RequestID
 	Target  TargetName
 	Outcome Outcome
+	// Refused says that the target itself refused the request or could not be
+	// reached, with OutcomeNotRun; not that the grant was not used.
+	Refused bool
 	// OutputTokens is the number of tokens the engine produced.
 	OutputTokens int
 	// CacheKnown says that the engine told how much of the prompt it held.
--- a/schedule/decide.go
+++ b/schedule/decide.go
@@ -28,6 +28,7 @@
 // that can't be placed stops those below it.
 func (p *Pool) Decide(now time.Time) []shelfshelf.Decision {
 	p.expire(now)
+	p.wakeRested(now)
 	decisions := p.refusals
 	p.refusals = nil
 	if now.Sub(p.blockedAt) >= blockedFor {
@@ -326,7 +327,7 @@
 // weigh scores one engine for a request; fits is false if it has no room now.
 func (p *Pool) weigh(now time.Time, engine *engineState, ask shelfshelf.Ask, cached int, as shelfshelf.Tier) (_ choice, fits bool) {
 	slow := p.slowdown(now, engine)
-	room := engine.room(as, p.lowest, &p.tuning, slow)
+	room := engine.room(now, as, p.lowest, &p.tuning, slow)
 	if p.parkedAbove > 0 {
 		// Higher requests wait for an engine of their choice: a lower one may not
 		// take its last slot.
--- a/schedule/engine_state.go
+++ b/schedule/engine_state.go
@@ -41,6 +41,10 @@
 	leaving  bool
 	// removed says that the bundle no longer has the target.
 	removed bool
+	// refusals counts refusals since the target last took a request; it rests
+	// until restUntil, longer after each.
+	refusals  int
+	restUntil time.Time
 	// pending holds *inFlight without a first token, the oldest first.
 	pending *list.List
 	// load orders the engines; it changes only while out of the tree.
@@ -55,6 +59,11 @@
 	slowerWeight = 0.6
 	fasterWeight = 0.25
 	maxSlowdown  = 64
+	// firstRest is how long a target that refuses gets nothing; it doubles with
+	// each refusal up to longestRest.
+	firstRest        = 100 * time.Millisecond
+	longestRest      = 3 * time.Second
+	maxRestDoublings = 8
 	// overdueFactor times its prediction is when a first token counts as overdue.
 	overdueFactor = 3
 	overdueGrace  = 150 * time.Millisecond
@@ -114,8 +123,10 @@
 }
 
 // room returns how many more requests of the tier the engine may take.
-func (e *engineState) room(tier shelfshelf.Tier, lowest shelfshelf.Tier, tuning *Tuning, slow float64) int {
-	if e.leaving {
+//
+// A target that has just refused has none.
+func (e *engineState) room(now time.Time, tier shelfshelf.Tier, lowest shelfshelf.Tier, tuning *Tuning, slow float64) int {
+	if e.leaving || now.Before(e.restUntil) {
 		return 0
 	}
 	slots := e.target.Slots
@@ -156,6 +167,12 @@
 	e.observed = blend(e.observed, float64(took)/float64(bound))
 }
 
+// refuse notes that the target refused a request or could not be reached.
+func (e *engineState) refuse(now time.Time) {
+	e.restUntil = now.Add(min(firstRest<<min(e.refusals, maxRestDoublings), longestRest))
+	e.refusals++
+}
+
 func blend(old, sample float64) float64 {
 	sample = min(max(sample, 1), maxSlowdown)
 	if sample > old {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -43,6 +43,8 @@
 	// engine's state changes it would find none again.
 	blocked   shelfshelf.Tier
 	blockedAt time.Time
+	// resting holds targets that have refused, until they may be tried again.
+	resting []*engineState
 	// changes counts the changes of engines.
 	changes uint64
 	// parkedAbove counts the parked requests of the tiers decided already.
@@ -125,7 +127,7 @@
 	slow := p.slowdown(now, engine)
 	share := float64(engine.occupied+engine.foreign) / float64(max(engine.target.Slots, 1))
 	engine.load = slow * (engine.firstTokenSeconds(0) + share*loadShareSeconds)
-	if engine.room(0, p.lowest, &p.tuning, slow) <= 0 {
+	if engine.room(now, 0, p.lowest, &p.tuning, slow) <= 0 {
 		engine.load += fullLoadSeconds
 	}
 	p.byLoad.Set(engine)
@@ -154,6 +156,19 @@
 	p.place(now, engine)
 }
 
+// wakeRested puts targets whose rest is over back into the order of load.
+func (p *Pool) wakeRested(now time.Time) {
+	kept := p.resting[:0]
+	for _, engine := range p.resting {
+		if now.Before(engine.restUntil) {
+			kept = append(kept, engine)
+			continue
+		}
+		p.change(now, engine, func() {})
+	}
+	p.resting = kept
+}
+
 // unblock lets every tier be tried again.
 func (p *Pool) unblock() {
 	p.blocked = shelfshelf.Tier(len(p.line.tiers))
@@ -300,6 +315,12 @@
 	p.change(now, flight.engine, func() {
 		p.settle(flight)
 		flight.engine.occupied--
+		if completion.Refused {
+			flight.engine.refuse(now)
+			p.resting = append(p.resting, flight.engine)
+		} else if completion.Outcome == shelfshelf.OutcomeDone {
+			flight.engine.refusals = 0
+		}
 	})
 	p.forgetRemoved(flight.engine)
 	if completion.CacheKnown && !flight.engine.removed {
