--- a/cli/ctl.go
+++ b/cli/ctl.go
@@ -30,6 +30,7 @@
 		bundleDiffEntry,
 		statusEntry,
 		exampleEntry,
+		referenceEntry,
 	},
 }
 
