--- a/cli/load_bench.go
+++ b/cli/load_bench.go
@@ -72,6 +72,13 @@
 	}
 	_, _ = fmt.Fprintf(env.Out, "%s, seed %d, %v of arrivals\n", c.Deployment, c.Seed, c.Length)
 	outcome.Print(env.Out)
+	if c.Report != "" {
+		file, err := outcome.WriteReport(c.Report)
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(env.Out, "the page is %s\n", file)
+	}
 	if c.JSON == "" {
 		return nil
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -54,10 +54,11 @@
 	once      sync.Once
 	transport *quic.Transport
 	mu        sync.Mutex
-	links     map[string]*link
-	accepted  map[*quic.Conn]struct{}
-	closed    Traffic
-	stopped   bool
+	// links are by instance and address: an address may have passed to another.
+	links    map[linkKey]*link
+	accepted map[*quic.Conn]struct{}
+	closed   Traffic
+	stopped  bool
 }
 
 // Traffic counts what the node's connections have carried.
@@ -68,6 +69,12 @@
 	PacketsReceived uint64
 }
 
+// linkKey names the end of a link.
+type linkKey struct {
+	id      shelfshelf.InstanceID
+	address string
+}
+
 // link is the connection to one address; ready is closed when it is made.
 type link struct {
 	ready chan struct{}
@@ -78,7 +85,7 @@
 func (n *Node) start() *quic.Transport {
 	n.once.Do(func() {
 		n.transport = &quic.Transport{Conn: n.Conn}
-		n.links = make(map[string]*link)
+		n.links = make(map[linkKey]*link)
 		n.accepted = make(map[*quic.Conn]struct{})
 	})
 	return n.transport
@@ -368,13 +375,14 @@
 		n.mu.Unlock()
 		return nil, eris.New("peer: stopped")
 	}
-	l := n.links[to.Address]
+	key := linkKey{id: to.ID, address: to.Address}
+	l := n.links[key]
 	if l == nil || (l.conn != nil && l.conn.Context().Err() != nil) || l.err != nil {
 		if l != nil && l.conn != nil {
 			n.closed.add(l.conn)
 		}
 		l = &link{ready: make(chan struct{})}
-		n.links[to.Address] = l
+		n.links[key] = l
 		go n.runDial(transport, l, to)
 	}
 	n.mu.Unlock()
