--- a/bench/report.go
+++ b/bench/report.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
@@ -33,6 +34,7 @@
 	plotWidth        = 7 * vg.Inch
 	plotHeight       = 3 * vg.Inch
 	tokensPerMillion = 1e6
+	legendRoom       = 1.4
 	folderMode       = 0o755
 )
 
@@ -176,7 +178,10 @@
 	p := plot.New()
 	p.X.Label.Text, p.Y.Label.Text = x, y
 	p.Y.Min = 0
-	p.Legend.Top = true
+	// Goodput lies high, so the legend stands below it; other plots get room above.
+	low := strings.HasPrefix(y, "%")
+	p.Legend.Top = !low
+	p.Legend.Left = true
 	p.Add(plotter.NewGrid())
 	highest := 1.0
 	for index, one := range lines {
@@ -193,6 +198,9 @@
 			highest = max(highest, point.Y)
 		}
 	}
+	if !low {
+		p.Y.Max = legendRoom * highest
+	}
 	for _, mark := range marks {
 		line, err := plotter.NewLine(plotter.XYs{{X: mark, Y: 0}, {X: mark, Y: highest}})
 		if err != nil {
