--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -48,6 +48,26 @@
 			So(mistake.Line, ShouldBeGreaterThan, 1)
 		}
 	})
+	Convey("Paths that the instances could not route are mistakes, not crashes", t, func() {
+		content, err := deploy.Bundle("prairie")
+		So(err, ShouldBeNil)
+		for _, path := range []string{"/v1/{", "/v1/vouchers/{x}/{y}", "/{a...}/b"} {
+			changed := strings.Replace(string(content), "/v1/balances/{account}", path, 1)
+			changed = strings.Replace(changed, `"method": "GET"`, `"method": "POST"`, 1)
+			_, err := bundle.Parse("b.json", []byte(changed))
+			if path == "/v1/vouchers/{x}/{y}" {
+				So(err, ShouldBeNil) // the more specific pattern wins
+				continue
+			}
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "routes[0].path")
+		}
+		changed := strings.Replace(string(content), "/v1/balances/{account}", "/v1/{any}/v1/charges", 1)
+		changed = strings.Replace(changed, `"method": "GET"`, `"method": "POST"`, 1)
+		_, err = bundle.Parse("b.json", []byte(changed))
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "conflicts")
+	})
 	Convey("A bundle for a newer program is refused by its format", t, func() {
 		_, err := bundle.Parse("b.json", []byte(`{"format": 2, "shape": "new"}`))
 		So(err, ShouldNotBeNil)
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 
 	"github.com/shelfshelf/shelfshelf/jsondoc"
@@ -19,6 +20,8 @@
 	pools  map[string]wirePool
 	routes map[string]bool
 	staffs map[string]int
+	// paths holds the service routes' patterns.
+	paths *http.ServeMux
 }
 
 func (c *checker) check() error {
@@ -26,6 +29,7 @@
 	c.pools = make(map[string]wirePool)
 	c.routes = make(map[string]bool)
 	c.staffs = make(map[string]int)
+	c.paths = http.NewServeMux()
 	c.checkApprovers()
 	c.checkTiers()
 	c.checkPools()
@@ -145,9 +149,24 @@
 			c.add(fmt.Sprintf("%s is route %q already", match, other), "routes", at, "path")
 		}
 		matches[match] = route.Name
+		if text := register(c.paths, match); text != "" {
+			c.add(text, "routes", at, "path")
+		}
 	}
 }
 
+// register tries a pattern as the instances will: net/http panics on one that it
+// can't read or that conflicts with another.
+func register(mux *http.ServeMux, pattern string) (mistake string) {
+	defer func() {
+		if problem := recover(); problem != nil {
+			mistake = fmt.Sprint(problem)
+		}
+	}()
+	mux.HandleFunc(pattern, http.NotFound)
+	return ""
+}
+
 func (c *checker) checkRoutePool(route wireRoute, at string) {
 	pool, known := c.pools[route.Pool]
 	if !known {
--- a/cli/ctl_example.go
+++ b/cli/ctl_example.go
@@ -8,6 +8,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/demo"
 	"github.com/shelfshelf/shelfshelf/keys"
 )
 
@@ -102,7 +104,7 @@
 			{"name": "assistant", "kind": "engine", "model": "assistant-7b", "role": "whole"},
 			{"name": "vouchers", "kind": "service"},
 		},
-		"customers": []map[string]any{{"name": "transit-regina", "tokenHashes": []string{keys.HashToken(exampleToken)}}},
+		"customers": exampleCustomers(),
 		"routes": []map[string]any{
 			{"name": "dispute-letter", "kind": "completion", "pool": "assistant", "tier": "letters", "deadline": "180s", "firstToken": "60s"},
 			{"name": "balance", "kind": "service", "pool": "vouchers", "tier": "counter", "method": "GET", "path": "/v1/balances/{account}", "deadline": "2s"},
@@ -115,3 +117,17 @@
 		},
 	}
 }
+
+// exampleCustomers are those of the prairie workload, so that shelfload load can
+// be tried; the first has the token that README uses too.
+func exampleCustomers() []map[string]any {
+	var customers []map[string]any
+	for _, name := range []string{"transit-regina", "hydro-north", "rural-phone", "band-offices", "call-centre"} {
+		hashes := []string{keys.HashToken(demo.TokenOf(shelfshelf.CustomerName(name)))}
+		if len(customers) == 0 {
+			hashes = append(hashes, keys.HashToken(exampleToken))
+		}
+		customers = append(customers, map[string]any{"name": name, "tokenHashes": hashes})
+	}
+	return customers
+}
--- a/cli/load.go
+++ b/cli/load.go
@@ -4,5 +4,5 @@
 var Shelfload = Program{
 	Name:     "shelfload",
 	Short:    "shelfload sends the deployments' workloads and measures what comes of them",
-	Commands: []Command{demoEntry, benchEntry, controlEntry, overheadEntry},
+	Commands: []Command{demoEntry, loadEntry, benchEntry, controlEntry, overheadEntry},
 }
--- a/demo/report.go
+++ b/demo/report.go
@@ -203,7 +203,16 @@
 	r.add("planned stop cuts nothing off", figure, r.stopErr == nil)
 }
 
-func (r *Report) print(out io.Writer, bundle *shelfshelf.Bundle) {
+// PrintTiers prints what callers saw, by tier.
+func PrintTiers(out io.Writer, records []Record, bundle *shelfshelf.Bundle) {
+	report := &Report{tiers: make(map[shelfshelf.Tier]*tierReport)}
+	for i := range records {
+		report.count(&records[i])
+	}
+	report.printTiers(out, bundle)
+}
+
+func (r *Report) printTiers(out io.Writer, bundle *shelfshelf.Bundle) {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(table, "tier\toffered\tin time\tlate\tshed\trefused\tunknown\tp50 first token\tp95 first token\t")
 	for rank, spec := range bundle.Tiers {
@@ -216,6 +225,10 @@
 			quantile(tier.firstToken, 50), quantile(tier.firstToken, 95))
 	}
 	_ = table.Flush()
+}
+
+func (r *Report) print(out io.Writer, bundle *shelfshelf.Bundle) {
+	r.printTiers(out, bundle)
 	_, _ = fmt.Fprintln(out, strings.Repeat("-", 72))
 	marks := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, one := range r.checks {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -11,6 +12,9 @@
 	"github.com/shelfshelf/shelfshelf/engine"
 )
 
+// slowCaller is how long a caller may take to read what one chunk needs.
+const slowCaller = 30 * time.Second
+
 // answer writes a completion to the caller: each chunk as it comes, or the whole
 // once it is complete.
 type answer struct {
@@ -83,6 +87,9 @@
 		header.Set("Trailer", HeaderOutcome)
 		a.writer.WriteHeader(http.StatusOK)
 	}
+	// A caller that does not read would keep an engine's slot for ever. Writers
+	// that know no deadline, as in tests, have no slow callers.
+	_ = a.control.SetWriteDeadline(time.Now().Add(slowCaller))
 	if err := a.event(chunk.Data); err != nil {
 		return err
 	}
