entry: a long stream is not cut by the time for a body; slow callers are

Cause: the callers' server had a ReadTimeout of 2 minutes. When it passes, net/http cancels the context of a request that is still being answered, so a stream longer than that would have been cut off and told unknown. A caller that goes away has its stream cancelled.

--- a/entry/server.go
+++ b/entry/server.go
@@ -21,6 +21,8 @@
 const (
 	// DefaultMaxBody bounds a caller's body.
 	DefaultMaxBody = 4 << 20
+	// DefaultBodyTimeout bounds the time that a caller takes to send a body.
+	DefaultBodyTimeout = 30 * time.Second
 	// lateFactor times its deadline is how long a request that runs may go on; it
 	// counts as late.
 	lateFactor = 2
@@ -44,8 +46,10 @@
 	Fit func() error
 	// NewID returns a new unguessable request id.
 	NewID func() shelfshelf.RequestID
-	// MaxBody bounds a body, in bytes.
-	MaxBody int64
+	// MaxBody bounds a body, in bytes, and BodyTimeout the time to send it; 0 means
+	// the default.
+	MaxBody     int64
+	BodyTimeout time.Duration
 
 	current  atomic.Pointer[directory]
 	limits   limiters
@@ -313,7 +317,19 @@
 	if limit == 0 {
 		limit = DefaultMaxBody
 	}
+	timeout := s.BodyTimeout
+	if timeout == 0 {
+		timeout = DefaultBodyTimeout
+	}
+	// Writers that know no deadline, as in tests, have no slow callers.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		// After an error the deadline stays: net/http reads what is left of a body
+		// before it closes, and would wait for ever.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, &problem{
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -112,9 +112,10 @@
 
 func (i *Instance) callersServer() *http.Server {
 	return &http.Server{
-		Handler:           i.Server.Handler(),
+		Handler: i.Server.Handler(),
+		// No ReadTimeout: when it passes, net/http cancels a request that is still
+		// being answered, and with it a long stream. The body has a time of its own.
 		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       idleTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
