schedule: a request asked again before the word of its refusal was lost

Cause of the last inversions (drain+owner-loss), found by printing each: the requests had been refused by a leaving target and asked again, and the new ask came before the end of the old grant, so the policy took it for a double and dropped it; it was never decided until the owner changed. In the program each ask has a stream of its own, so the order is not given there either: such a request would have hung to its deadline. Ruled out: the hand-over. Now a new ask ends the earlier grant, and the late word of it is told from the new grant's by its target. The new test fails without the change.

--- a/owner/shard.go
+++ b/owner/shard.go
@@ -125,7 +125,10 @@
 }
 
 func (s *Shard) finish(completion shelfshelf.Completion) {
-	delete(s.granted, completion.ID)
+	// The end of an earlier grant must not take away a later one's.
+	if s.granted[completion.ID] == completion.Target {
+		delete(s.granted, completion.ID)
+	}
 	s.Policy.Done(s.Clock.Now(), completion)
 }
 
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tidwall/btree"
@@ -190,8 +191,16 @@
 
 // Ask puts a request in line, or notes its refusal for the next Decide.
 func (p *Pool) Ask(now time.Time, ask shelfshelf.Ask) {
-	if _, twice := p.flying[ask.ID]; twice {
-		return
+	if flight := p.flying[ask.ID]; flight != nil {
+		// An entry asks again only once its grant was not used; the word of that may
+		// come after the new ask, since each has a stream of its own.
+		target := flight.engine.target.Name
+		p.Done(now, shelfshelf.Completion{
+			ID:      ask.ID,
+			Target:  target,
+			Outcome: shelfshelf.OutcomeNotRun,
+			Refused: slices.Contains(ask.Avoid, target),
+		})
 	}
 	if !p.canEverServe(ask) {
 		p.refuse(ask.ID, shelfshelf.RefusedNoTarget, noTargetRetry)
@@ -308,7 +317,8 @@
 // Done records that a granted request has left its engine.
 func (p *Pool) Done(now time.Time, completion shelfshelf.Completion) {
 	flight := p.flying[completion.ID]
-	if flight == nil {
+	if flight == nil || (completion.Target != "" && completion.Target != flight.engine.target.Name) {
+		// The end of an earlier grant, which a new ask has ended already.
 		return
 	}
 	delete(p.flying, completion.ID)
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -283,6 +283,22 @@
 		So(again[0].Target, ShouldEqual, granted[0].Target)
 		So(again[0].CachedTokens, ShouldEqual, 4096)
 	})
+	Convey("A request asked again before the word of its refusal is decided again", t, func() {
+		pool := newPool(engineNamed("e1", 4), engineNamed("e2", 4))
+		one := ask("a", 0, now, 100, time.Minute)
+		pool.Ask(now, one)
+		first := pool.Decide(now)
+		So(first, ShouldHaveLength, 1)
+		one.Avoid = []shelfshelf.TargetName{first[0].Target}
+		pool.Ask(now, one)
+		second := pool.Decide(now)
+		So(second, ShouldHaveLength, 1)
+		So(second[0].Target, ShouldNotEqual, first[0].Target)
+		// The late word is about the first grant, not the second.
+		pool.Done(now, shelfshelf.Completion{ID: "a", Target: first[0].Target, Outcome: shelfshelf.OutcomeNotRun, Refused: true})
+		So(pool.InFlight()[second[0].Target], ShouldEqual, 1)
+		So(pool.InFlight()[first[0].Target], ShouldEqual, 0)
+	})
 	Convey("A long wait puts a low request before higher ones, one in AgedEvery grants", t, func() {
 		pool := newPool(engineNamed("e", 1))
 		pool.Ask(now, ask("low", 2, now, 10, time.Hour))
