One chart and one reading of the process's use, where two stood each

Cause: duplicates named the plots of bench and burn report, and two copies of the processor-time reading.

--- a/bench/report.go
+++ b/bench/report.go
@@ -11,12 +11,9 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/chart"
 )
 
 //go:embed page.html
@@ -30,11 +27,11 @@
 }).Parse(pageSource))
 
 const (
-	reportFile       = "index.html"
-	plotWidth        = 7 * vg.Inch
-	plotHeight       = 3 * vg.Inch
+	reportFile = "index.html"
+	// A plot's size is in inches.
+	plotWidth        = 7
+	plotHeight       = 3
 	tokensPerMillion = 1e6
-	legendRoom       = 1.4
 	folderMode       = 0o755
 )
 
@@ -44,12 +41,6 @@
 	Drawing template.HTML
 }
 
-// series is one line of a plot.
-type series struct {
-	name   string
-	points plotter.XYs
-}
-
 // WriteReport writes a page with plots into a folder and returns its file.
 func (o *Outcome) WriteReport(folder string) (string, error) {
 	var figures []figure
@@ -81,8 +72,16 @@
 
 // drawFault plots everything of one set of faults.
 func (o *Outcome) drawFault(fault string, figures *[]figure) error {
-	add := func(title, x, y string, lines []series, marks []float64) error {
-		drawing, err := draw(x, y, lines, marks)
+	add := func(title, x, y string, lines []chart.Line, marks []float64) error {
+		drawing, err := (&chart.Chart{
+			XLabel:      x,
+			YLabel:      y,
+			LegendBelow: strings.HasPrefix(y, "%"),
+			Lines:       lines,
+			Marks:       marks,
+			Width:       plotWidth,
+			Height:      plotHeight,
+		}).SVG()
 		*figures = append(*figures, figure{Title: title + ", faults: " + fault, Drawing: drawing})
 		return err
 	}
@@ -114,9 +113,9 @@
 }
 
 // overLoad is a figure of each policy by load.
-func (o *Outcome) overLoad(fault string, of func(*Result) float64) []series {
+func (o *Outcome) overLoad(fault string, of func(*Result) float64) []chart.Line {
 	byPolicy := make(map[string]int)
-	var lines []series
+	var lines []chart.Line
 	for _, cell := range o.Cells {
 		if cell.Fault != fault {
 			continue
@@ -126,23 +125,23 @@
 			if !known {
 				at = len(lines)
 				byPolicy[result.Policy] = at
-				lines = append(lines, series{name: result.Policy})
+				lines = append(lines, chart.Line{Name: result.Policy})
 			}
-			lines[at].points = append(lines[at].points, plotter.XY{X: cell.Load, Y: of(result)})
+			lines[at].Points = append(lines[at].Points, chart.Point{X: cell.Load, Y: of(result)})
 		}
 	}
 	return lines
 }
 
 // overTime is the line by tier, a point a second, while requests arrive.
-func (o *Outcome) overTime(result *Result) []series {
-	var lines []series
+func (o *Outcome) overTime(result *Result) []chart.Line {
+	var lines []chart.Line
 	seconds := min(len(result.Waiting), int(o.Length.Seconds())+1)
 	for rank, tier := range o.Tiers {
-		line := series{name: tier.Name}
+		line := chart.Line{Name: tier.Name}
 		for at := range seconds {
 			count := result.Waiting[at][shelfshelf.Tier(rank)]
-			line.points = append(line.points, plotter.XY{X: float64(at), Y: float64(count)})
+			line.Points = append(line.Points, chart.Point{X: float64(at), Y: float64(count)})
 		}
 		lines = append(lines, line)
 	}
@@ -172,50 +171,3 @@
 	}
 	return marks
 }
-
-// draw plots lines with points, and marks as upright lines.
-func draw(x, y string, lines []series, marks []float64) (template.HTML, error) {
-	p := plot.New()
-	p.X.Label.Text, p.Y.Label.Text = x, y
-	p.Y.Min = 0
-	// Goodput lies high, so the legend stands below it; other plots get room above.
-	low := strings.HasPrefix(y, "%")
-	p.Legend.Top = !low
-	p.Legend.Left = true
-	p.Add(plotter.NewGrid())
-	highest := 1.0
-	for index, one := range lines {
-		line, points, err := plotter.NewLinePoints(one.points)
-		if err != nil {
-			return "", eris.Wrap(err, "plot")
-		}
-		line.Color = plotutil.Color(index)
-		points.Color = line.Color
-		points.Radius = vg.Points(1)
-		p.Add(line, points)
-		p.Legend.Add(one.name, line)
-		for _, point := range one.points {
-			highest = max(highest, point.Y)
-		}
-	}
-	if !low {
-		p.Y.Max = legendRoom * highest
-	}
-	for _, mark := range marks {
-		line, err := plotter.NewLine(plotter.XYs{{X: mark, Y: 0}, {X: mark, Y: highest}})
-		if err != nil {
-			return "", eris.Wrap(err, "plot")
-		}
-		line.Dashes = plotutil.Dashes(1)
-		p.Add(line)
-	}
-	writer, err := p.WriterTo(plotWidth, plotHeight, "svg")
-	if err != nil {
-		return "", eris.Wrap(err, "plot")
-	}
-	var drawing bytes.Buffer
-	if _, err := writer.WriteTo(&drawing); err != nil {
-		return "", eris.Wrap(err, "plot")
-	}
-	return template.HTML(drawing.String()), nil //nolint:gosec // made by the plot library
-}
--- /dev/null
+++ b/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws the reports' plots as SVG.
+package chart
--- a/control/control.go
+++ b/control/control.go
@@ -4,12 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"runtime"
-	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -17,6 +12,7 @@
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/demo"
+	"github.com/shelfshelf/shelfshelf/usage"
 )
 
 const (
@@ -85,7 +81,7 @@
 	if _, err := cluster.Roll(ctx, "control"); err != nil {
 		return Sample{}, err
 	}
-	before := residentBytes()
+	before := usage.ResidentBytes()
 	for index := range point.Members {
 		id := shelfshelf.InstanceID(fmt.Sprintf("entry-%d", index+1))
 		if _, err := cluster.StartMember(id, "place"); err != nil {
@@ -101,15 +97,15 @@
 	var running sync.WaitGroup
 	running.Add(1)
 	go asker.run(asking, &running)
-	sent, packets, used, began := traffic(cluster, true), traffic(cluster, false), processorSeconds(), c.Clock.Now()
+	sent, packets, used, began := traffic(cluster, true), traffic(cluster, false), usage.ProcessorSeconds(), c.Clock.Now()
 	<-c.Clock.After(c.Length)
 	elapsed := c.Clock.Now().Sub(began).Seconds() * float64(point.Members)
 	sample := Sample{
 		Point:       point,
 		SentBytes:   (traffic(cluster, true) - sent) / elapsed,
 		SentPackets: (traffic(cluster, false) - packets) / elapsed,
-		Processor:   (processorSeconds() - used) / elapsed,
-		Resident:    (residentBytes() - before) / float64(point.Members),
+		Processor:   (usage.ProcessorSeconds() - used) / elapsed,
+		Resident:    (usage.ResidentBytes() - before) / float64(point.Members),
 	}
 	stop()
 	running.Wait()
@@ -199,32 +195,5 @@
 	ticket.Done(shelfshelf.Completion{ID: ask.ID, Target: ticket.Decision().Target, Outcome: shelfshelf.OutcomeDone})
 }
 
-// processorSeconds returns the processor time of this process.
-func processorSeconds() float64 {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
-}
-
-// residentBytes returns the resident memory of this process after a collection.
-func residentBytes() float64 {
-	runtime.GC()
-	content, err := os.ReadFile("/proc/self/status")
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(content), "\n") {
-		if rest, found := strings.CutPrefix(line, "VmRSS:"); found {
-			count, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(rest, "kB")), 64)
-			if err == nil {
-				return count * kilobyte
-			}
-		}
-	}
-	return 0
-}
-
 // ErrPoints means that there are too few arrangements to fit a slope.
 var ErrPoints = eris.New("a slope needs at least two values")
--- a/overhead/overhead.go
+++ b/overhead/overhead.go
@@ -8,7 +8,6 @@
 	"runtime"
 	"strings"
 	"sync"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/demo"
 	"github.com/shelfshelf/shelfshelf/engine"
+	"github.com/shelfshelf/shelfshelf/usage"
 )
 
 const (
@@ -141,7 +141,7 @@
 func (o *Overhead) drive(ctx context.Context) {
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	used := processorSeconds()
+	used := usage.ProcessorSeconds()
 	var sending sync.WaitGroup
 	start := o.Clock.Now()
 	serial := 0
@@ -158,7 +158,7 @@
 	}
 	sending.Wait()
 	runtime.ReadMemStats(&after)
-	o.Processor = (processorSeconds() - used) / float64(max(serial, 1))
+	o.Processor = (usage.ProcessorSeconds() - used) / float64(max(serial, 1))
 	o.Allocations = float64(after.Mallocs-before.Mallocs) / float64(max(serial, 1))
 }
 
@@ -238,12 +238,3 @@
 	p50, p99 := of.ValueAtQuantile(50), of.ValueAtQuantile(99)
 	_, _ = fmt.Fprintf(out, "%d us\t%d us\t%d us\t%d us\t", p50, p99, p50-base.ValueAtQuantile(50), p99-base.ValueAtQuantile(99))
 }
-
-// processorSeconds returns the processor time of this process.
-func processorSeconds() float64 {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
-}
--- /dev/null
+++ b/usage/doc.go
@@ -0,0 +1,2 @@
+// Package usage reads what this process has used of the machine.
+package usage
