--- a/instance/core.go
+++ b/instance/core.go
@@ -48,6 +48,7 @@
 	Members *member.Members
 	Watcher *bundle.Watcher
 	Claims  *claim.Claims
+	Sweeper *claim.Sweeper
 
 	metrics  *metrics.Set
 	stopping atomic.Bool
@@ -112,6 +113,13 @@
 		Peers: c.Peers,
 		Apply: c.apply,
 	}
+	c.Sweeper = &claim.Sweeper{
+		Clock:     c.Clock,
+		Log:       c.Log.WithPrefix("claim"),
+		Table:     c.Table,
+		Mine:      c.sweeps,
+		Customers: c.customers,
+	}
 	c.Members.Head = c.Watcher.Head
 	c.Members.StoreAt = c.Watcher.StoreContact
 	c.Members.HeadHeard = c.Watcher.Heard
@@ -143,6 +151,28 @@
 	}
 }
 
+// sweepShard stands for the sweeping of claims among the owners.
+const sweepShard = "claims"
+
+// sweeps reports whether this instance is the one that sweeps old claims.
+func (c *Core) sweeps() bool {
+	sweeper, ok := owner.Of(shelfshelf.Shard{Pool: sweepShard}, c.Members.Live())
+	return ok && sweeper.ID == c.ID
+}
+
+// customers returns the customers of the bundle in force.
+func (c *Core) customers() []shelfshelf.CustomerName {
+	accepted := c.Watcher.Current()
+	if accepted == nil {
+		return nil
+	}
+	names := make([]shelfshelf.CustomerName, 0, len(accepted.Bundle.Customers))
+	for _, customer := range accepted.Bundle.Customers {
+		names = append(names, customer.Name)
+	}
+	return names
+}
+
 func (c *Core) membersChanged() {
 	c.Router.SetLeaving(c.Members.LeavingTargets())
 }
@@ -186,7 +216,7 @@
 // addParts puts the parts into a group of actors.
 func (c *Core) addParts(group *run.Group) {
 	for _, part := range []func(context.Context) error{
-		c.Members.Run, c.Router.Run, c.Watcher.Run, c.Claims.Run,
+		c.Members.Run, c.Router.Run, c.Watcher.Run, c.Claims.Run, c.Sweeper.Run,
 	} {
 		addPart(group, part)
 	}
