schedule: lower tiers leave more room the more higher requests are parked

Cause of the inversions left in overload, by printing each: many staff requests waited for warm engines at once, lower ones took all but one slot of each engine meanwhile, and when the wait was over there was no room.

--- a/schedule/decide.go
+++ b/schedule/decide.go
@@ -55,6 +55,9 @@
 	// blockedFor is how long a tier without room is left alone if nothing changes
 	// but the time.
 	blockedFor = 10 * time.Millisecond
+	// parkedPerSlot is how many parked requests of higher tiers take a further slot
+	// of each engine from lower ones.
+	parkedPerSlot = 4
 	// parkedRetry is how often a parked request is tried again.
 	parkedRetry = 20 * time.Millisecond
 )
@@ -329,9 +332,9 @@
 	slow := p.slowdown(now, engine)
 	room := engine.room(now, as, p.lowest, &p.tuning, slow)
 	if p.parkedAbove > 0 {
-		// Higher requests wait for an engine of their choice: a lower one may not
-		// take its last slot.
-		room--
+		// Higher requests wait for an engine of their choice: a lower one leaves them
+		// a slot on each, and more if many wait.
+		room -= 1 + p.parkedAbove/parkedPerSlot
 	}
 	if room <= 0 {
 		return choice{}, false
