--- a/burn/report.go
+++ b/burn/report.go
@@ -90,7 +90,7 @@
 var callersFaults = map[string]bool{
 	"bad-body": true, "bad-tier": true, "bad-deadline": true, "body-broken": true, "body-too-large": true,
 	"prompt-too-long": true, "answer-too-long": true, "no-idempotency-key": true, "key-reused": true,
-	"route-not-allowed": true, "limit": true, "cancelled": true,
+	"route-not-allowed": true, "rejected": true, "limit": true, "cancelled": true,
 }
 
 // judge tells what a request counts as.
--- a/engine/client.go
+++ b/engine/client.go
@@ -87,7 +87,10 @@
 func refusal(response *http.Response) error {
 	defer func() { _ = response.Body.Close() }()
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
-	if transport.RefusedStatus(response.StatusCode) || response.StatusCode == http.StatusBadRequest {
+	if response.StatusCode == http.StatusBadRequest {
+		return errors.Join(shelfshelf.ErrNotRun, eris.Wrapf(shelfshelf.ErrRejected, "%s", text))
+	}
+	if transport.RefusedStatus(response.StatusCode) {
 		return eris.Wrapf(shelfshelf.ErrNotRun, "engine answered %d: %s", response.StatusCode, text)
 	}
 	return eris.Wrapf(shelfshelf.ErrBroken, "engine answered %d: %s", response.StatusCode, text)
--- a/entry/server.go
+++ b/entry/server.go
@@ -271,7 +271,7 @@
 		completion.Outcome = shelfshelf.OutcomeDone
 	case errors.Is(err, shelfshelf.ErrNotRun):
 		completion.Outcome = shelfshelf.OutcomeNotRun
-		completion.Refused = ctx.Err() == nil
+		completion.Refused = ctx.Err() == nil && !errors.Is(err, shelfshelf.ErrRejected)
 	default:
 		completion.Outcome = shelfshelf.OutcomeUnknown
 	}
@@ -279,6 +279,8 @@
 	switch {
 	case err == nil:
 		return nil, false
+	case errors.Is(err, shelfshelf.ErrRejected):
+		return badRequest("rejected", "the engine does not take this request"), false
 	case errors.Is(err, shelfshelf.ErrNotRun) && ctx.Err() == nil:
 		s.Log.Info("A target did not run a request.", "request", c.id, "target", target.Name, "error", err)
 		return nil, true
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -138,6 +138,19 @@
 		So(g.done[0].Refused, ShouldBeTrue)
 		So(g.done[0].Outcome, ShouldEqual, shelfshelf.OutcomeNotRun)
 	})
+	Convey("A request that an engine finds wrong is the caller's to mend, not tried elsewhere", t, func() {
+		g := &granter{targets: []shelfshelf.TargetName{"regina-m01-1", "regina-m01-2"}}
+		tries := 0
+		server := newServer(t, g, &engines{run: func(context.Context, shelfshelf.Target, func(shelfshelf.EngineChunk) error) error {
+			tries++
+			return errors.Join(shelfshelf.ErrNotRun, shelfshelf.ErrRejected)
+		}})
+		answer := post(server, tagBody)
+		So(answer.Code, ShouldEqual, http.StatusBadRequest)
+		So(answer.Header().Get(entry.HeaderOutcome), ShouldEqual, "not run")
+		So(tries, ShouldEqual, 1)
+		So(g.done[0].Refused, ShouldBeFalse)
+	})
 	Convey("One that may have run is not dispatched again", t, func() {
 		g := &granter{targets: []shelfshelf.TargetName{"regina-m01-1", "regina-m01-2"}}
 		runs := 0
--- a/target.go
+++ b/target.go
@@ -9,6 +9,10 @@
 // ErrNotRun means that the target provably did not run the request.
 var ErrNotRun = errors.New("not run by the target")
 
+// ErrRejected means that the target found the request itself wrong, and did not
+// run it; no other target would. It comes together with ErrNotRun.
+var ErrRejected = errors.New("request rejected by the target")
+
 // ErrBroken means that the answer is not whole and the request may have run.
 var ErrBroken = errors.New("answer broken off")
 
