--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -24,6 +24,19 @@
 	})
 }
 
+func TestExamples(t *testing.T) {
+	Convey("The settings of both deployments are sound", t, func() {
+		for _, name := range []string{"prairie", "brittany"} {
+			entry, err := ReadEntry("../deploy/" + name + "/entry.json")
+			So(err, ShouldBeNil)
+			So(entry.Peers, ShouldHaveLength, 1)
+			ctl, err := ReadCtl("../deploy/" + name + "/ctl.json")
+			So(err, ShouldBeNil)
+			So(ctl.Admins, ShouldHaveLength, 6)
+		}
+	})
+}
+
 func FuzzParseEntry(f *testing.F) {
 	f.Add([]byte(sound))
 	f.Add([]byte(`{"instance": 3}`))
