--- a/demo/caller.go
+++ b/demo/caller.go
@@ -18,6 +18,7 @@
 	"github.com/shelfshelf/shelfshelf/entry"
 	"github.com/shelfshelf/shelfshelf/fake"
 	"github.com/shelfshelf/shelfshelf/load"
+	"github.com/shelfshelf/shelfshelf/transport"
 )
 
 // Record is what a caller saw of one attempt.
@@ -134,7 +135,7 @@
 		return nil, record
 	}
 	record.Status = response.StatusCode
-	record.ID = shelfshelf.RequestID(response.Header.Get(engine.HeaderRequestID))
+	record.ID = shelfshelf.RequestID(response.Header.Get(transport.HeaderRequestID))
 	record.Outcome = outcomeNamed(response.Header.Get(entry.HeaderOutcome))
 	record.Reason = response.Header.Get(entry.HeaderReason)
 	return response, record
--- a/engine/client.go
+++ b/engine/client.go
@@ -59,10 +59,10 @@
 // Complete runs a call; see shelfshelf.EngineClient.
 func (c *Client) Complete(ctx context.Context, target shelfshelf.Target, call shelfshelf.CompletionCall, emit func(shelfshelf.EngineChunk) error) error {
 	header := http.Header{
-		"Content-Type":  {"application/json"},
-		"Accept":        {"text/event-stream"},
-		HeaderRequestID: {string(call.ID)},
-		"X-Priority":    {strconv.Itoa(call.Priority)},
+		"Content-Type":            {"application/json"},
+		"Accept":                  {"text/event-stream"},
+		transport.HeaderRequestID: {string(call.ID)},
+		HeaderPriority:            {strconv.Itoa(call.Priority)},
 	}
 	//nolint:bodyclose // refusal and read close it.
 	response, err := c.Once.RoundTrip(ctx, http.MethodPost, target.Address+call.Path, header, call.Body)
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -6,7 +6,8 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
-// The paths and headers of an engine's HTTP interface beside the completions.
+// The paths of an engine's HTTP interface beside the completions, and the end of
+// its streams.
 const (
 	// PathStreams is where a stream is resumed (GET) and cancelled (DELETE).
 	PathStreams = "/v1/streams/"
@@ -16,8 +17,8 @@
 	PathCacheEvents = "/cache-events"
 	// PathOrders is where an engine takes orders.
 	PathOrders = "/orders"
-	// HeaderRequestID names the request; the engine echoes it in each chunk.
-	HeaderRequestID = "X-Request-Id"
+	// HeaderPriority tells the engine in which order to work, 0 first.
+	HeaderPriority = "X-Priority"
 	// FinalData ends a whole stream.
 	FinalData = "[DONE]"
 )
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
-	"github.com/shelfshelf/shelfshelf/engine"
 	"github.com/shelfshelf/shelfshelf/prompt"
+	"github.com/shelfshelf/shelfshelf/transport"
 )
 
 // defaultOutputTokens is the expected length of an answer without max_tokens.
@@ -30,7 +30,7 @@
 		p.write(w, id)
 		return
 	}
-	w.Header().Set(engine.HeaderRequestID, string(c.id))
+	w.Header().Set(transport.HeaderRequestID, string(c.id))
 	if address := legacyAddress(c.customer, c.route); address != "" {
 		s.forward(w, r, c, address, body)
 		return
--- a/entry/service.go
+++ b/entry/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/claim"
-	"github.com/shelfshelf/shelfshelf/engine"
+	"github.com/shelfshelf/shelfshelf/transport"
 )
 
 const (
@@ -58,7 +58,7 @@
 			p.write(w, "")
 			return
 		}
-		w.Header().Set(engine.HeaderRequestID, string(c.id))
+		w.Header().Set(transport.HeaderRequestID, string(c.id))
 		body, p := s.readBody(w, r)
 		if p == nil {
 			p = s.admit(c, 0)
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -15,6 +15,7 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/engine"
 	"github.com/shelfshelf/shelfshelf/prompt"
+	"github.com/shelfshelf/shelfshelf/transport"
 )
 
 const (
@@ -246,12 +247,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	id := shelfshelf.RequestID(r.Header.Get(engine.HeaderRequestID))
+	id := shelfshelf.RequestID(r.Header.Get(transport.HeaderRequestID))
 	words := body.MaxTokens
 	if words <= 0 {
 		words = defaultWords
 	}
-	priority, err := strconv.Atoi(r.Header.Get("X-Priority"))
+	priority, err := strconv.Atoi(r.Header.Get(engine.HeaderPriority))
 	if err != nil {
 		priority = body.Priority
 	}
--- a/fake/service.go
+++ b/fake/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/engine"
+	"github.com/shelfshelf/shelfshelf/transport"
 )
 
 // Service is a plain service over HTTP: it answers any call after its declared
@@ -106,13 +107,13 @@
 		s.count(&s.running, -1)
 		<-s.slots
 	}()
-	id := shelfshelf.RequestID(r.Header.Get(engine.HeaderRequestID))
+	id := shelfshelf.RequestID(r.Header.Get(transport.HeaderRequestID))
 	pause, drop := s.begin(id, r.Header.Get("Idempotency-Key"))
 	<-s.Clock.After(pause)
 	if drop {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(engine.HeaderRequestID, string(id))
+	w.Header().Set(transport.HeaderRequestID, string(id))
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = fmt.Fprintf(w, `{"service":%q,"request":%q,"path":%q,"bytes":%d}`+"\n", s.Target.Name, id, r.URL.Path, len(body))
 }
--- a/overhead/overhead.go
+++ b/overhead/overhead.go
@@ -18,6 +18,7 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/demo"
 	"github.com/shelfshelf/shelfshelf/engine"
+	"github.com/shelfshelf/shelfshelf/transport"
 	"github.com/shelfshelf/shelfshelf/usage"
 )
 
@@ -192,7 +193,7 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Authorization", "Bearer "+demo.TokenOf(customer))
-	request.Header.Set(engine.HeaderRequestID, fmt.Sprintf("%s-%d", w.Name[:1], serial))
+	request.Header.Set(transport.HeaderRequestID, fmt.Sprintf("%s-%d", w.Name[:1], serial))
 	began := o.Clock.Now()
 	response, err := o.client.Do(request)
 	if err != nil {
--- a/schedule/direct.go
+++ b/schedule/direct.go
@@ -7,11 +7,6 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
-const (
-	roundRobinUsage  = "baseline: every request at once to the next engine in turn"
-	leastLoadedUsage = "baseline: every request at once to the engine whose latest report shows least work"
-)
-
 // direct is a policy without a line: it grants each request at once. The two
 // baselines differ only in how they pick.
 type direct struct {
@@ -27,37 +22,6 @@
 	return &direct{pick: pick, reports: make(map[shelfshelf.TargetName]shelfshelf.LoadReport)}
 }
 
-func newRoundRobin(Config) shelfshelf.Policy {
-	return newDirect((*direct).pickNext)
-}
-
-func newLeastLoaded(Config) shelfshelf.Policy {
-	return newDirect((*direct).pickLeastLoaded)
-}
-
-func (d *direct) pickNext(eligible []shelfshelf.Target) shelfshelf.Target {
-	d.next++
-	return eligible[d.next%len(eligible)]
-}
-
-func (d *direct) pickLeastLoaded(eligible []shelfshelf.Target) shelfshelf.Target {
-	d.next++
-	best := eligible[d.next%len(eligible)]
-	bestLoad := d.load(best)
-	for _, target := range eligible {
-		if load := d.load(target); load < bestLoad {
-			best, bestLoad = target, load
-		}
-	}
-	return best
-}
-
-// load is the reported work for each slot.
-func (d *direct) load(target shelfshelf.Target) float64 {
-	report := d.reports[target.Name]
-	return float64(report.Running+report.Waiting) / float64(max(target.Slots, 1))
-}
-
 // SetTargets replaces the targets.
 func (d *direct) SetTargets(_ time.Time, targets []shelfshelf.Target) {
 	d.targets = slices.DeleteFunc(slices.Clone(targets), func(t shelfshelf.Target) bool { return t.Leaving })
--- a/service/client.go
+++ b/service/client.go
@@ -8,7 +8,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
-	"github.com/shelfshelf/shelfshelf/engine"
 	"github.com/shelfshelf/shelfshelf/transport"
 )
 
@@ -32,7 +31,7 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	header.Set(engine.HeaderRequestID, string(call.ID))
+	header.Set(transport.HeaderRequestID, string(call.ID))
 	response, err := c.Once.RoundTrip(ctx, call.Method, target.Address+call.Path, header, call.Body)
 	if err != nil {
 		return shelfshelf.ServiceAnswer{}, err
@@ -48,7 +47,7 @@
 	if len(body) > maxAnswerBytes {
 		return shelfshelf.ServiceAnswer{}, eris.Wrapf(shelfshelf.ErrBroken, "answer is longer than %d bytes", maxAnswerBytes)
 	}
-	if echoed := response.Header.Get(engine.HeaderRequestID); echoed != string(call.ID) {
+	if echoed := response.Header.Get(transport.HeaderRequestID); echoed != string(call.ID) {
 		return shelfshelf.ServiceAnswer{}, eris.Wrapf(shelfshelf.ErrBroken, "answer belongs to %q, not to %q", echoed, call.ID)
 	}
 	return shelfshelf.ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -16,6 +16,9 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
+// HeaderRequestID names a request to targets, which echo it, and to callers.
+const HeaderRequestID = "X-Request-Id"
+
 const (
 	dialTimeout = time.Second
 	// idleTimeout is below what servers usually keep, so that a connection that
