--- a/schedule/tuning.go
+++ b/schedule/tuning.go
@@ -51,7 +51,7 @@
 		AgedEvery:          16,
 		GrantValid:         2 * time.Second,
 		MaxWaiting:         20000,
-		Candidates:         8,
+		Candidates:         16,
 		ScanLimit:          128,
 	}
 }
