--- a/entry/service.go
+++ b/entry/service.go
@@ -50,10 +50,13 @@
 			p.write(w, "")
 			return
 		}
-		if current := dir.routes[route.Name]; current != nil {
-			route = current
+		// The bundle in force may be newer than the one this handler was made for;
+		// the captured route is shared by all requests and must not be changed.
+		current := dir.routes[route.Name]
+		if current == nil {
+			current = route
 		}
-		c, p := s.begin(r, dir, customer, route)
+		c, p := s.begin(r, dir, customer, current)
 		if p != nil {
 			p.write(w, "")
 			return
@@ -67,7 +70,7 @@
 			s.fail(w, c, p)
 			return
 		}
-		if address := legacyAddress(customer, route); address != "" {
+		if address := legacyAddress(customer, current); address != "" {
 			s.forward(w, r, c, address, body)
 			return
 		}
--- a/owner/ask.go
+++ b/owner/ask.go
@@ -139,7 +139,7 @@
 	if !inner.Decision().Granted {
 		return inner
 	}
-	t := &ticket{router: r, ask: ask, inner: []shelfshelf.Ticket{inner}, decidedBy: way.owner.ID}
+	t := &ticket{router: r, ask: ask, inner: []shelfshelf.Ticket{inner}, decision: inner.Decision()}
 	r.mu.Lock()
 	r.tickets[ask.ID] = t
 	r.mu.Unlock()
--- a/owner/ticket.go
+++ b/owner/ticket.go
@@ -49,9 +49,9 @@
 // ticket is a granted request of this entry. When the pool moves while it runs,
 // the new owner is told too, and both hear of its end.
 type ticket struct {
-	router    *Router
-	ask       shelfshelf.Ask
-	decidedBy shelfshelf.InstanceID
+	router   *Router
+	ask      shelfshelf.Ask
+	decision shelfshelf.Decision
 
 	mu    sync.Mutex
 	inner []shelfshelf.Ticket
@@ -61,7 +61,7 @@
 
 // Decision returns the decision of the owner that granted it.
 func (t *ticket) Decision() shelfshelf.Decision {
-	return t.inner[0].Decision()
+	return t.decision
 }
 
 // FirstToken tells every owner that counts the request.
--- a/test/history/faults.go
+++ b/test/history/faults.go
@@ -89,8 +89,6 @@
 	n.kill()
 	return func() {
 		s.world.store.RemoveInstance(n.ID)
-		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.addNode()
 	}
 }
--- a/test/history/run.go
+++ b/test/history/run.go
@@ -189,8 +189,10 @@
 
 // addNode starts a node and puts it on the platform's list.
 func (s *scenario) addNode() *node {
+	s.world.mu.Lock()
 	s.serial++
 	id := shelfshelf.InstanceID(fmt.Sprintf("n%d", s.serial))
+	s.world.mu.Unlock()
 	n := &node{world: s.world, done: make(chan struct{}), killed: make(chan struct{}), open: make(chan struct{})}
 	close(n.open)
 	store := &nodeStore{node: n}
--- a/test/history/targets.go
+++ b/test/history/targets.go
@@ -55,7 +55,7 @@
 	if err := t.begin(ctx, target, call.ID, key); err != nil {
 		return shelfshelf.ServiceAnswer{}, err
 	}
-	if t.node.world.wait(ctx, t.span(target.Name, callTime)) != nil || t.node.world.chance(t.node.world.mischief) || t.node.gate(ctx) != nil {
+	if t.node.world.wait(ctx, t.span(target.Name, callTime)) != nil || t.node.world.mishap(1) || t.node.gate(ctx) != nil {
 		return shelfshelf.ServiceAnswer{}, shelfshelf.ErrBroken
 	}
 	return shelfshelf.ServiceAnswer{Status: 200, Body: []byte(answerOf(target.Name, call.ID))}, nil
@@ -72,7 +72,7 @@
 		if t.node.world.wait(ctx, t.span(target.Name, tokenTime)) != nil || t.node.gate(ctx) != nil {
 			return shelfshelf.ErrBroken
 		}
-		if t.node.world.chance(t.node.world.mischief / 3) {
+		if t.node.world.mishap(1.0 / 3) {
 			return shelfshelf.ErrBroken
 		}
 		data := fmt.Sprintf(`{"id":%q,"choices":[{"index":0,"text":%q,"finish_reason":null}]}`, call.ID, part)
--- a/test/history/world.go
+++ b/test/history/world.go
@@ -77,10 +77,11 @@
 	return w.cut[direction(from, to)]
 }
 
-func (w *world) chance(share float64) bool {
+// mishap draws whether a target fails, at a share of the present chance.
+func (w *world) mishap(share float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.random.Float64() < share
+	return w.random.Float64() < share*w.mischief
 }
 
 func (w *world) node(id shelfshelf.InstanceID) *node {
