--- a/test/cases/cases_test.go
+++ b/test/cases/cases_test.go
@@ -57,6 +57,14 @@
 				}
 				out, code = request(t, cluster, words[1:])
 			} else {
+				for i := range words {
+					if words[i] == liveSettings {
+						if cluster == nil {
+							cluster = start(t)
+						}
+						words[i] = writeSettings(t, cluster)
+					}
+				}
 				out, errOut, code = run(t, words)
 			}
 			compare(t, filepath.Join(folder, "expout"), out)
@@ -69,6 +77,21 @@
 	}
 }
 
+// liveSettings stands in a command for shelfctl's settings of the running
+// deployment.
+const liveSettings = "@ctl.json"
+
+func writeSettings(t *testing.T, cluster *demo.Cluster) string {
+	approver := cluster.Bundles.Trust.Approvers[0]
+	file := filepath.Join(t.TempDir(), "ctl.json")
+	content := fmt.Sprintf(`{"platform": {"address": %q}, "approvers": [{"name": %q, "publicKey": "%x"}], "threshold": 1}`,
+		cluster.PlatformAddress, approver.Name, approver.PublicKey)
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
 var word = regexp.MustCompile(`'[^']*'|\S+`)
 
 func split(line string) []string {
