Two switches that no test used are gone

Cause: 'no read-back' and 'no signatures' could be switched off in the product's code and no check would have noticed: the first only loses a key, it never runs one twice, and the second has a test of its own (TestApproversChangeByABundle).

--- a/bundle/watcher.go
+++ b/bundle/watcher.go
@@ -30,8 +30,6 @@
 type Guards struct {
 	// ApplyLower applies whatever head is read last.
 	ApplyLower bool
-	// SkipSignatures applies bundles that nobody has signed.
-	SkipSignatures bool
 }
 
 // Accepted is a bundle in force.
@@ -251,9 +249,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if w.Guards.SkipSignatures {
-		return &Accepted{Head: head, Bundle: parsed, Encoded: encoded}, nil
-	}
 	if err := w.verify(ctx, signed); err != nil {
 		return nil, err
 	}
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -30,8 +30,6 @@
 type Guards struct {
 	// SkipConfirm dispatches although the claim's write was ambiguous.
 	SkipConfirm bool
-	// SkipReadBack takes an ambiguous write for one that did not happen.
-	SkipReadBack bool
 	// Lapse takes a claim over from its holder after a while.
 	Lapse time.Duration
 }
@@ -171,10 +169,6 @@
 			if a.claims.Guards.SkipConfirm {
 				return nil, verdictClaimed, nil
 			}
-			if a.claims.Guards.SkipReadBack {
-				a.unsure = false
-				return nil, verdictFailed, ErrNotConfirmed
-			}
 		case errors.Is(err, shelfshelf.ErrConflict):
 		default:
 			return nil, verdictAgain, nil
