--- a/bench/target.go
+++ b/bench/target.go
@@ -270,17 +270,6 @@
 	sim *sim
 }
 
-// PendingPrefill returns the prompt tokens an engine has yet to read.
-func (t *truth) PendingPrefill(name shelfshelf.TargetName) int {
-	return t.sim.targets[name].core.PendingPrefill()
-}
-
-// Occupied returns how many requests an engine has.
-func (t *truth) Occupied(name shelfshelf.TargetName) int {
-	target := t.sim.targets[name]
-	return target.core.Occupied() + target.running + len(target.waiting)
-}
-
 // CachedTokens returns how much of a prompt the engine holds.
 func (t *truth) CachedTokens(name shelfshelf.TargetName, prefix []shelfshelf.PrefixMark) int {
 	core := t.sim.targets[name].core
--- a/bundle/head.go
+++ b/bundle/head.go
@@ -148,16 +148,12 @@
 
 // CurrentTrust follows the chain of approver changes from the settings to now.
 func (s *Store) CurrentTrust(ctx context.Context) (Trust, error) {
-	return s.trustBefore(ctx, nil)
+	return s.TrustBefore(ctx, nil)
 }
 
-// CurrentTrustBefore is CurrentTrust before a bundle that itself may be the
-// latest change of approvers.
-func (s *Store) CurrentTrustBefore(ctx context.Context, signed *Signed) (Trust, error) {
-	return s.trustBefore(ctx, signed)
-}
-
-func (s *Store) trustBefore(ctx context.Context, stop *Signed) (Trust, error) {
+// TrustBefore is CurrentTrust before a bundle that itself may be the latest change
+// of approvers; with nil, before none.
+func (s *Store) TrustBefore(ctx context.Context, stop *Signed) (Trust, error) {
 	rows, err := s.Table.Scan(ctx, keysPrefix, maxLog)
 	if err != nil {
 		return Trust{}, eris.Wrap(err, "read approver changes")
--- a/bundle/watcher.go
+++ b/bundle/watcher.go
@@ -269,7 +269,7 @@
 	if err == nil {
 		return nil
 	}
-	before, chainErr := w.Store.CurrentTrustBefore(ctx, signed)
+	before, chainErr := w.Store.TrustBefore(ctx, signed)
 	if chainErr != nil {
 		return err
 	}
--- a/schedule/policies.go
+++ b/schedule/policies.go
@@ -17,10 +17,6 @@
 
 // Truth is what only a simulation knows: the state of the engines as it is.
 type Truth interface {
-	// PendingPrefill returns the prompt tokens an engine has yet to read.
-	PendingPrefill(target shelfshelf.TargetName) int
-	// Occupied returns how many requests an engine works on or has in its queue.
-	Occupied(target shelfshelf.TargetName) int
 	// CachedTokens returns how much of a prompt the engine holds, in tokens.
 	CachedTokens(target shelfshelf.TargetName, prefix []shelfshelf.PrefixMark) int
 	// Slowdown returns how many times slower than declared an engine runs.
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -318,12 +318,7 @@
 			if served >= 0 {
 				break
 			}
-			for name := range pool.InFlight() {
-				_ = name
-			}
-			for _, id := range []string{"low"} {
-				pool.Done(late, shelfshelf.Completion{ID: shelfshelf.RequestID(id)})
-			}
+			pool.Done(late, shelfshelf.Completion{ID: "low"})
 			for j := 0; j <= i; j++ {
 				pool.Done(late, shelfshelf.Completion{ID: shelfshelf.RequestID(fmt.Sprintf("h%d", j))})
 				pool.Done(late, shelfshelf.Completion{ID: shelfshelf.RequestID(fmt.Sprintf("g%d", j))})
