--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -38,8 +38,6 @@
 	WaitUntil time.Time
 	// EventGap is the longest pause between events that the route allows.
 	EventGap time.Duration
-	// Deadline is when the caller gives up; zero means never.
-	Deadline time.Time
 	// Goal is the time within which the first token, or a plain answer, is due.
 	Goal   time.Duration
 	Prompt []shelfshelf.PromptPart
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -34,10 +34,6 @@
 	// preference counts, in steps of one part in biasSteps.
 	biasShare = 0.3
 	biasSteps = 64
-	// unfinishedPenalty is how many goals an engine counts on which the answer would not
-	// be whole when the caller gives up: all of it would be for nothing, so that it counts
-	// more than anything else but failures.
-	unfinishedPenalty = 4
 	// pieceTokens is how much of a prompt an engine is taken to read in one step.
 	pieceTokens = 2048
 	// speedHalfLife is how fast an observed speed becomes worthless without new ones.
@@ -98,17 +94,12 @@
 	if !t.open(need, now) {
 		return false
 	}
-	free := t.free(need, now)
+	free := t.slots - t.load(now).requests - t.reserved(need)
 	// Others may have taken so many of the last places unseen.
 	contested := int(b.view.staleness / contestedPer)
 	return free > 0 && (free > contested || b.drawn(t, free, now))
 }
 
-// free is how many places a target has for a request, as far as is known here.
-func (t *targetState) free(need Need, now time.Time) int {
-	return t.slots - t.load(now).requests - t.reserved(need)
-}
-
 // reserved is how many places a request must leave to higher tiers; plain services,
 // whose calls are short, keep none.
 func (t *targetState) reserved(need Need) int {
@@ -149,10 +140,7 @@
 	if p.spec.Engine == nil {
 		return cost
 	}
-	cost += time.Duration(outputShare * float64(p.writing(t, need, now)))
-	if !p.finishes(t, need, now, expected) {
-		cost += unfinishedPenalty * need.Goal
-	}
+	cost += time.Duration(outputShare * float64(need.OutputTokens) * float64(p.step(t, now)))
 	if need.EventGap > 0 && requests > 0 {
 		unread := loaded.prefill + b.unread(t, need, now)
 		if p.pause(t, unread, now) > time.Duration(gapSafety*float64(need.EventGap)) {
@@ -162,17 +150,6 @@
 	return cost + b.ownBias(t)
 }
 
-// writing predicts how long an engine takes for the tokens of an answer.
-func (p *pool) writing(t *targetState, need Need, now time.Time) time.Duration {
-	return time.Duration(need.OutputTokens) * p.step(t, now)
-}
-
-// finishes reports that an engine is expected to have given the whole answer before the
-// caller gives up, if its first token comes after the given time.
-func (p *pool) finishes(t *targetState, need Need, now time.Time, first time.Duration) bool {
-	return need.Deadline.IsZero() || !now.Add(first+p.writing(t, need, now)).After(need.Deadline)
-}
-
 // lateness is what an expected time beyond a safe part of the goal counts in
 // addition: nothing below it, a whole goal at the goal, and more beyond.
 func lateness(expected, goal time.Duration) time.Duration {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -183,7 +183,6 @@
 		Tier:         c.route.Tier,
 		Arrived:      c.arrived,
 		WaitUntil:    c.arrived.Add(time.Duration(waitShare * float64(c.goal()))),
-		Deadline:     c.deadline,
 		EventGap:     c.route.EventGap,
 		Goal:         c.goal(),
 		Prompt:       c.call.Prompt,
