Places that change owners are freed in every book; only answers end a silence

While an owner is passed over, an instance may be the next owner itself and give itself a place. Once the owner is back, the holder's list and the place's return go there; its own book was told nothing, and it never falls silent to itself. A book elsewhere had the same until its holder was silent for 2.5 s, which one that goes on asking never is. Every owner that this instance was in contact with now gets the next two lists, empty ones too.

Second: since owners are passed over only after a silence, one that hears nothing, but whose own asks come, was never passed over. Only answers count.

Tests, both failing first: TestPlacesThatChangeOwnersAreFreed, TestOwnersThatHearNothingAreReplaced.

--- a/places/client.go
+++ b/places/client.go
@@ -18,6 +18,10 @@
 	answerTime = 40 * time.Millisecond
 	// syncPeriod is how often holders repeat what they hold.
 	syncPeriod = time.Second
+	// lastSyncs is how many syncs an owner gets after the last contact with it: the places
+	// that it has given out may have been given back to another owner, or the message that
+	// did may be lost, as may one of the syncs.
+	lastSyncs = 2
 )
 
 // Client asks the owners of engines for places, and serves as the owner of its own.
@@ -40,8 +44,9 @@
 	open map[shelfshelf.PlaceID]*place
 	// silences are the owners with asks that they have not answered.
 	silences map[netip.AddrPort]*silence
-	// synced are the owners that the last sync went to.
-	synced map[netip.AddrPort]bool
+	// contacts are the owners that may take this instance to hold something, each with how
+	// many of the next syncs go to it though it owns nothing that this instance holds.
+	contacts map[netip.AddrPort]int
 }
 
 // place is one that this instance holds or asks for.
@@ -108,9 +113,20 @@
 	}
 	c.last++
 	c.open[c.last] = p
+	if p.owner.IsValid() {
+		c.contact(p.owner)
+	}
 	return c.last
 }
 
+// contact notes an owner that is to be told what this instance holds; the lock is held.
+func (c *Client) contact(owner netip.AddrPort) {
+	if c.contacts == nil {
+		c.contacts = make(map[netip.AddrPort]int)
+	}
+	c.contacts[owner] = lastSyncs
+}
+
 // Took notes a place that was taken without an owner's word; the next sync tells it.
 func (c *Client) Took(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) shelfshelf.PlaceID {
 	return c.add(&place{target: target, centre: centre, held: true})
@@ -185,7 +201,6 @@
 		c.Log.Warn("A message can't be read.", "from", from, "error", err)
 		return
 	}
-	c.heard(from)
 	holder := Holder{Address: from, Incarnation: m.incarnation}
 	switch m.kind {
 	case kindAsk:
@@ -206,6 +221,7 @@
 	if m.incarnation != c.Self.Incarnation {
 		return
 	}
+	c.heardAnswer(from)
 	open := c.settle(shelfshelf.PlaceAnswer{ID: m.id, Outcome: m.outcome, Requests: m.requests})
 	if !open && m.outcome != shelfshelf.PlaceUnknown {
 		c.giveBack(from, m.id)
@@ -264,16 +280,12 @@
 	}
 }
 
-// holdings returns what is held of each owner's engines, by today's owners; one that
-// has nothing any more is told so once.
+// holdings returns what is held of each owner's engines, by today's owners; those that
+// this instance was in contact with lately are told so if they own none of it.
 func (c *Client) holdings() map[netip.AddrPort]map[shelfshelf.PlaceID]shelfshelf.TargetKey {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	lists := make(map[netip.AddrPort]map[shelfshelf.PlaceID]shelfshelf.TargetKey)
-	for owner := range c.synced {
-		lists[owner] = nil
-	}
-	c.synced = make(map[netip.AddrPort]bool)
 	for id, p := range c.open {
 		if !p.held {
 			continue
@@ -287,7 +299,17 @@
 			lists[owner] = make(map[shelfshelf.PlaceID]shelfshelf.TargetKey)
 		}
 		lists[owner][id] = p.target
-		c.synced[owner] = true
+		c.contact(owner)
+	}
+	for owner, left := range c.contacts {
+		if lists[owner] != nil {
+			continue
+		}
+		lists[owner] = nil
+		c.contacts[owner] = left - 1
+		if left <= 1 {
+			delete(c.contacts, owner)
+		}
 	}
 	return lists
 }
--- a/places/client_test.go
+++ b/places/client_test.go
@@ -71,6 +71,15 @@
 	lost    float64
 	delay   time.Duration
 	dead    map[netip.AddrPort]bool
+	// cut are the ways, from and to, on which nothing gets through.
+	cut map[[2]netip.AddrPort]bool
+}
+
+// cutWay lets nothing through from one instance to another; the way back stays open.
+func (w *network) cutWay(from, to netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[[2]netip.AddrPort{from, to}] = true
 }
 
 // setDelay sets how long each message takes.
@@ -103,11 +112,18 @@
 	}
 }
 
+// revive lets a silent instance speak again.
+func (w *network) revive(address netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.dead, address)
+}
+
 // receiver returns who takes a message, nil if it is lost.
 func (w *network) receiver(from, to netip.AddrPort) *Client {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if rand.Float64() < w.lost || w.dead[to] || w.dead[from] {
+	if rand.Float64() < w.lost || w.dead[to] || w.dead[from] || w.cut[[2]netip.AddrPort{from, to}] {
 		return nil
 	}
 	return w.clients[to]
@@ -128,7 +144,12 @@
 }
 
 func newNetwork(ctx context.Context, size int) *network {
-	w := &network{clients: make(map[netip.AddrPort]*Client), dead: make(map[netip.AddrPort]bool), delay: time.Millisecond}
+	w := &network{
+		clients: make(map[netip.AddrPort]*Client),
+		dead:    make(map[netip.AddrPort]bool),
+		cut:     make(map[[2]netip.AddrPort]bool),
+		delay:   time.Millisecond,
+	}
 	for n := range size {
 		w.add(ctx, addressOf(n+1), 1)
 	}
@@ -330,6 +351,56 @@
 	})
 }
 
+// An owner that asks do not reach is replaced, though its own messages come.
+func TestOwnersThatHearNothingAreReplaced(t *testing.T) {
+	inNetwork(t, 4, func(ctx context.Context, w *network) {
+		granted := make(chan shelfshelf.PlaceID, 99)
+		asker := w.clients[addressOf(1)]
+		target, address := ownedElsewhere(asker)
+		owner := w.clients[address]
+		back, answerer := ownedElsewhere(owner)
+		for answerer != asker.Self.Address {
+			back++
+			answerer, _ = owner.owner(back, "")
+		}
+		w.cutWay(asker.Self.Address, address)
+		began := time.Now()
+		for asker.Ask(ctx, askOf(target, 0), granted).Outcome != shelfshelf.PlaceGranted {
+			owner.Ask(ctx, askOf(back, 0), granted)
+			if took := time.Since(began); took > silenceBound+3*answerTime {
+				t.Fatalf("no place after %v", took)
+			}
+		}
+	})
+}
+
+// A place that an instance gave itself, while another owner was passed over, leaves its own
+// book once that owner is back and takes the place over.
+func TestPlacesThatChangeOwnersAreFreed(t *testing.T) {
+	inNetwork(t, 2, func(ctx context.Context, w *network) {
+		granted := make(chan shelfshelf.PlaceID, 9)
+		asker := w.clients[addressOf(1)]
+		target, owner := ownedElsewhere(asker)
+		// The asks lie so between two syncs, at 1 and 2 s, that the owner is passed over
+		// from 0.95 to 1.95 s.
+		time.Sleep(700 * time.Millisecond)
+		w.kill(owner, true)
+		asker.Give(asker.Ask(ctx, askOf(target, 0), granted).ID)
+		time.Sleep(400 * time.Millisecond)
+		got := asker.Ask(ctx, askOf(target, 0), granted)
+		if got.Outcome != shelfshelf.PlaceGranted {
+			t.Fatalf("%+v", got)
+		}
+		w.revive(owner)
+		time.Sleep(time.Second)
+		asker.Give(got.ID)
+		time.Sleep(3 * time.Second)
+		if held := w.held(target); held != 0 {
+			t.Errorf("%d places are taken by nobody", held)
+		}
+	})
+}
+
 // Where nobody answers, the asker hears so soon; what it takes alone is told later.
 func TestNoOwnerAnswers(t *testing.T) {
 	inNetwork(t, 3, func(ctx context.Context, w *network) {
--- a/places/owner.go
+++ b/places/owner.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// silenceBound is how long an owner may leave asks unanswered, with nothing else heard
-	// from it, until the next one is asked: longer than datagrams queue on a busy link of
+	// silenceBound is how long an owner may leave all asks unanswered until the next one is
+	// asked: longer than datagrams queue on a busy link of
 	// 10 Mbit/s, and shorter than the silence after which gossip takes it for gone.
 	silenceBound = 250 * time.Millisecond
 	// passOver is how long a silent owner is passed over before it is tried again.
@@ -61,8 +61,9 @@
 	return key ^ key>>31
 }
 
-// silence is the time since the first ask that an owner has not answered, with nothing
-// else heard from it.
+// silence is the time since the first ask that an owner has not answered, without an
+// answer to any other. Its own asks don't end it: they come over a way that is cut in
+// one direction only.
 type silence struct {
 	since time.Time
 	// reported says that the log has a line on it.
@@ -98,14 +99,14 @@
 	}
 }
 
-// heard ends the silence of an owner: any message shows that it lives and can be reached.
-func (c *Client) heard(from netip.AddrPort) {
+// heardAnswer ends the silence of an owner.
+func (c *Client) heardAnswer(from netip.AddrPort) {
 	c.mu.Lock()
 	s := c.silences[from]
 	delete(c.silences, from)
 	c.mu.Unlock()
 	if s != nil && s.reported {
-		c.Log.Info("An owner of engines is heard again.", "owner", from, "after", c.Clock.Now().Sub(s.since))
+		c.Log.Info("An owner of engines answers again.", "owner", from, "after", c.Clock.Now().Sub(s.since))
 	}
 }
 
