What stand-ins of targets have in common stands once

Engine and Service of package fake each kept the count of runs, the word on leaving and their locks with the same methods; both embed targetState now. No behaviour changes; the tests that use them pass unchanged.

--- a/fake/engine.go
+++ b/fake/engine.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,12 +32,10 @@
 	Clock shelfshelf.Clock
 	Core  *EngineCore
 
-	mu       sync.Mutex
+	targetState
 	streams  map[shelfshelf.RequestID]*engineStream
-	runs     map[shelfshelf.RequestID]int
 	report   shelfshelf.LoadReport
 	events   []shelfshelf.CacheEvent
-	leaving  bool
 	cutAfter int
 	wake     chan struct{}
 	lastCall time.Time
@@ -58,11 +55,11 @@
 // NewEngine returns an idle engine for a target.
 func NewEngine(clock shelfshelf.Clock, target shelfshelf.Target) *Engine {
 	return &Engine{
-		Clock:   clock,
-		Core:    NewEngineCore(target),
-		streams: make(map[shelfshelf.RequestID]*engineStream),
-		runs:    make(map[shelfshelf.RequestID]int),
-		wake:    make(chan struct{}, 1),
+		Clock:       clock,
+		Core:        NewEngineCore(target),
+		targetState: newTargetState(),
+		streams:     make(map[shelfshelf.RequestID]*engineStream),
+		wake:        make(chan struct{}, 1),
 	}
 }
 
@@ -73,13 +70,6 @@
 	e.Core.Slowdown = slowdown
 }
 
-// SetLeaving says in the engine's reports that it wants no new work.
-func (e *Engine) SetLeaving(leaving bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = leaving
-}
-
 // CutStreams makes the engine cut the connection of so many of the next streams
 // in their middle.
 func (e *Engine) CutStreams(count int) {
@@ -88,17 +78,6 @@
 	e.cutAfter = count
 }
 
-// Runs returns how many times each request was run.
-func (e *Engine) Runs() map[shelfshelf.RequestID]int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	runs := make(map[shelfshelf.RequestID]int, len(e.runs))
-	for id, count := range e.runs {
-		runs[id] = count
-	}
-	return runs
-}
-
 // LastCall returns when the engine was last sent new work, taken or not; zero if
 // never.
 func (e *Engine) LastCall() time.Time {
--- a/fake/service.go
+++ b/fake/service.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -18,13 +18,11 @@
 	Clock  shelfshelf.Clock
 	Target shelfshelf.Target
 
-	mu       sync.Mutex
-	runs     map[shelfshelf.RequestID]int
+	targetState
 	keys     map[string]int
 	slowdown float64
 	running  int
 	waiting  int
-	leaving  bool
 	slots    chan struct{}
 	dropped  int
 }
@@ -32,12 +30,12 @@
 // NewService returns an idle service for a target.
 func NewService(clock shelfshelf.Clock, target shelfshelf.Target) *Service {
 	return &Service{
-		Clock:    clock,
-		Target:   target,
-		runs:     make(map[shelfshelf.RequestID]int),
-		keys:     make(map[string]int),
-		slowdown: 1,
-		slots:    make(chan struct{}, max(target.Slots, 1)),
+		Clock:       clock,
+		Target:      target,
+		targetState: newTargetState(),
+		keys:        make(map[string]int),
+		slowdown:    1,
+		slots:       make(chan struct{}, max(target.Slots, 1)),
 	}
 }
 
@@ -48,13 +46,6 @@
 	s.slowdown = slowdown
 }
 
-// SetLeaving says in the service's reports that it wants no new work.
-func (s *Service) SetLeaving(leaving bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = leaving
-}
-
 // DropAnswers makes the service run so many of the next calls and then cut the
 // connection without an answer.
 func (s *Service) DropAnswers(count int) {
@@ -63,26 +54,11 @@
 	s.dropped = count
 }
 
-// Runs returns how many times each request was run.
-func (s *Service) Runs() map[shelfshelf.RequestID]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	runs := make(map[shelfshelf.RequestID]int, len(s.runs))
-	for id, count := range s.runs {
-		runs[id] = count
-	}
-	return runs
-}
-
 // KeyRuns returns how many times a call with each Idempotency-Key was run.
 func (s *Service) KeyRuns() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	runs := make(map[string]int, len(s.keys))
-	for key, count := range s.keys {
-		runs[key] = count
-	}
-	return runs
+	return maps.Clone(s.keys)
 }
 
 // Handler returns the service's HTTP interface.
