--- a/places/owner.go
+++ b/places/owner.go
@@ -11,8 +11,8 @@
 
 const (
 	// silenceBound is how long an owner may leave all asks unanswered until the next one is
-	// asked: longer than datagrams queue on a busy link of
-	// 10 Mbit/s, and shorter than the silence after which gossip takes it for gone.
+	// asked: longer than datagrams queue on a busy link of 10 Mbit/s, and shorter than the
+	// silence after which gossip takes an instance for gone.
 	silenceBound = 250 * time.Millisecond
 	// passOver is how long a silent owner is passed over before it is tried again.
 	passOver = time.Second
@@ -62,8 +62,8 @@
 }
 
 // silence is the time since the first ask that an owner has not answered, without an
-// answer to any other. Its own asks don't end it: they come over a way that is cut in
-// one direction only.
+// answer to any other. The owner's own asks don't end it: they still come where the way
+// is cut in the other direction only.
 type silence struct {
 	since time.Time
 	// reported says that the log has a line on it.
