--- /dev/null
+++ b/places/network_test.go
@@ -0,0 +1,172 @@
+package places
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+const testSlots = 3
+
+// network is instances that reach each other, with datagrams that are late or lost.
+type network struct {
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*Client
+	lost    float64
+	delay   time.Duration
+	dead    map[netip.AddrPort]bool
+	// cut are the ways, from and to, on which nothing gets through.
+	cut map[[2]netip.AddrPort]bool
+}
+
+// cutWay lets nothing through from one instance to another; the way back stays open.
+func (w *network) cutWay(from, to netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[[2]netip.AddrPort{from, to}] = true
+}
+
+// setDelay sets how long each message takes.
+func (w *network) setDelay(delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delay = delay
+}
+
+func (w *network) way() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.delay
+}
+
+// setLost sets the part of the messages that are lost.
+func (w *network) setLost(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost = share
+}
+
+// kill makes an instance silent; listed says whether others still take it for alive.
+func (w *network) kill(address netip.AddrPort, listed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead[address] = true
+	if !listed {
+		delete(w.clients, address)
+	}
+}
+
+// revive lets a silent instance speak again.
+func (w *network) revive(address netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.dead, address)
+}
+
+// receiver returns who takes a message, nil if it is lost.
+func (w *network) receiver(from, to netip.AddrPort) *Client {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if rand.Float64() < w.lost || w.dead[to] || w.dead[from] || w.cut[[2]netip.AddrPort{from, to}] {
+		return nil
+	}
+	return w.clients[to]
+}
+
+func (w *network) candidates(shelfshelf.DataCentre) []Candidate {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []Candidate
+	for other := range w.clients {
+		all = append(all, NewCandidate(shelfshelf.InstanceID(other.String()), other))
+	}
+	return all
+}
+
+func addressOf(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1)
+}
+
+func newNetwork(ctx context.Context, size int) *network {
+	w := &network{
+		clients: make(map[netip.AddrPort]*Client),
+		dead:    make(map[netip.AddrPort]bool),
+		cut:     make(map[[2]netip.AddrPort]bool),
+		delay:   time.Millisecond,
+	}
+	for n := range size {
+		w.add(ctx, addressOf(n+1), 1)
+	}
+	return w
+}
+
+func (w *network) add(ctx context.Context, address netip.AddrPort, incarnation uint64) {
+	c := &Client{
+		Clock:      clockwork.NewRealClock(),
+		Log:        log.New(io.Discard),
+		Self:       Holder{Address: address, Incarnation: incarnation},
+		Candidates: w.candidates,
+	}
+	c.Send = func(to netip.AddrPort, content []byte) {
+		if receiver := w.receiver(address, to); receiver != nil {
+			time.AfterFunc(w.way(), func() { receiver.Receive(content, address) })
+		}
+	}
+	c.Book = &Book{
+		Clock:    c.Clock,
+		Capacity: func(shelfshelf.TargetKey) (Capacity, bool) { return Capacity{Slots: testSlots}, true },
+		Grant:    c.Grant,
+	}
+	w.mu.Lock()
+	w.clients[address] = c
+	w.mu.Unlock()
+	go func() { _ = c.Run(ctx) }()
+}
+
+// held is how many places of an engine its owner counts.
+func (w *network) held(target shelfshelf.TargetKey) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	most := 0
+	for address, c := range w.clients {
+		if !w.dead[address] {
+			most = max(most, c.Book.Held(target))
+		}
+	}
+	return most
+}
+
+func inNetwork(t *testing.T, size int, body func(ctx context.Context, w *network)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		body(ctx, newNetwork(ctx, size))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func askOf(target shelfshelf.TargetKey, wait time.Duration) shelfshelf.PlaceAsk {
+	return shelfshelf.PlaceAsk{Target: target, Wait: wait}
+}
+
+// ownedElsewhere returns an engine that another instance owns, and its owner.
+func ownedElsewhere(asker *Client) (shelfshelf.TargetKey, netip.AddrPort) {
+	target := shelfshelf.TargetKey(0)
+	owner, _ := asker.owner(target, "")
+	for owner == asker.Self.Address {
+		target++
+		owner, _ = asker.owner(target, "")
+	}
+	return target, owner
+}
--- /dev/null
+++ b/places/wire_test.go
@@ -0,0 +1,55 @@
+package places
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+func TestMessagesComeBackWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := message{
+			kind:        kind(rapid.Uint8Range(1, 4).Draw(t, "kind")),
+			incarnation: rapid.Uint64().Draw(t, "incarnation"),
+			id:          shelfshelf.PlaceID(rapid.Uint64().Draw(t, "id")),
+			ask: shelfshelf.PlaceAsk{
+				Target: shelfshelf.TargetKey(rapid.Uint32().Draw(t, "target")),
+				Begun:  rapid.Bool().Draw(t, "begun"),
+				Rank:   rapid.IntRange(-3, 9).Draw(t, "rank"),
+				Tier:   shelfshelf.Tier(rapid.IntRange(0, 9).Draw(t, "tier")),
+				Wait:   time.Duration(rapid.IntRange(0, 1e4).Draw(t, "wait")) * time.Millisecond,
+			},
+			outcome:  shelfshelf.PlaceGranted,
+			requests: rapid.IntRange(0, 99).Draw(t, "requests"),
+			held: rapid.MapOfN(rapid.Custom(func(t *rapid.T) shelfshelf.PlaceID {
+				return shelfshelf.PlaceID(rapid.Uint64().Draw(t, "held"))
+			}), rapid.Just(shelfshelf.TargetKey(3)), 1, 9).Draw(t, "list"),
+		}
+		content, err := encode(sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decode(content)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(sent, got, cmp.AllowUnexported(message{})); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	content, err := encode(message{kind: kindAsk, id: 5})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(content)
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		_, _ = decode(content) // must not panic
+	})
+}
