--- a/balance/owned_test.go
+++ b/balance/owned_test.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// newOwned returns a balancer whose engines' places owners give out, and those owners.
+func newOwned(slots int, centres ...shelfshelf.DataCentre) (*balance.Balancer, *owners) {
+	b := newBalancer(slots, centres...)
+	o := newOwners()
+	b.Places = o
+	return b, o
+}
+
 func (o *owners) Ask(_ context.Context, ask shelfshelf.PlaceAsk, granted chan<- shelfshelf.PlaceID) shelfshelf.PlaceAnswer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -97,9 +105,7 @@
 // until then, and leaves them.
 func TestOwnersDecide(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBalancer(4, here, here, here)
-		o := newOwners()
-		b.Places = o
+		b, o := newOwned(4, here, here, here)
 		for _, target := range []string{"t0", "t1", "t2"} {
 			o.set(target, shelfshelf.PlaceWaits)
 		}
@@ -129,9 +135,7 @@
 // Without any owner's word, the instance decides by what it knows, and tells afterwards
 // what it took.
 func TestWithoutOwners(t *testing.T) {
-	b := newBalancer(2, here)
-	o := newOwners()
-	b.Places = o
+	b, o := newOwned(2, here)
 	for i := range 2 {
 		if lease := acquire(t, b, need(fmt.Sprint(i), 0)); !lease.Alone || lease.Asked != 1 {
 			t.Errorf("alone %v after %d asks", lease.Alone, lease.Asked)
@@ -148,9 +152,7 @@
 // A place that is given at an engine that has become unfit is given back.
 func TestPlacesAtLeavingEnginesAreGivenBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBalancer(4, here)
-		o := newOwners()
-		b.Places = o
+		b, o := newOwned(4, here)
 		o.set("t0", shelfshelf.PlaceWaits)
 		time.AfterFunc(10*time.Millisecond, func() {
 			pools, targets := engines(4, here)
@@ -171,9 +173,7 @@
 // finds places more easily.
 func TestLowerTiersAreNotServedMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBalancer(4, here)
-		o := newOwners()
-		b.Places = o
+		b, o := newOwned(4, here)
 		served := make(map[shelfshelf.Tier]int)
 		const rounds = 4000
 		for i := range rounds {
@@ -205,9 +205,7 @@
 // nothing.
 func TestOneRefusalIsNoShortage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBalancer(4, here)
-		o := newOwners()
-		b.Places = o
+		b, o := newOwned(4, here)
 		for i := range 400 {
 			o.set("t0", shelfshelf.PlaceGranted)
 			if i%50 == 0 {
@@ -232,9 +230,7 @@
 // A grant of an ask that was given up meanwhile is no place.
 func TestGrantsOfAsksGivenUpAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBalancer(4, here, here)
-		o := newOwners()
-		b.Places = o
+		b, o := newOwned(4, here, here)
 		o.set("t0", shelfshelf.PlaceWaits)
 		o.set("t1", shelfshelf.PlaceWaits)
 		time.AfterFunc(10*time.Millisecond, func() { o.serveStray(99) })
@@ -270,9 +266,7 @@
 // A place whose owner answers late is taken when it comes; the other asks are given up.
 func TestLatePlacesAreTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBalancer(4, here, here)
-		o := newOwners()
-		b.Places = o
+		b, o := newOwned(4, here, here)
 		o.set("t0", shelfshelf.PlaceUnanswered)
 		o.set("t1", shelfshelf.PlaceWaits)
 		time.AfterFunc(50*time.Millisecond, func() { o.serve("t0") })
@@ -291,9 +285,7 @@
 // given up.
 func TestUnansweredAsksDecideNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBalancer(4, here, here)
-		o := newOwners()
-		b.Places = o
+		b, o := newOwned(4, here, here)
 		o.set("t0", shelfshelf.PlaceUnanswered)
 		o.set("t1", shelfshelf.PlaceUnanswered)
 		lease := acquire(t, b, need("x", time.Second))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -177,12 +177,13 @@
 	if output == 0 {
 		output = c.call.MaxOutputTokens
 	}
+	wait := time.Duration(waitShare * float64(c.goal()))
 	need := balance.Need{
 		ID:           c.call.ID,
 		Pool:         c.pool,
 		Tier:         c.route.Tier,
 		Arrived:      c.arrived,
-		WaitUntil:    c.arrived.Add(time.Duration(waitShare * float64(c.goal()))),
+		WaitUntil:    c.arrived.Add(wait),
 		EventGap:     c.route.EventGap,
 		Goal:         c.goal(),
 		Prompt:       c.call.Prompt,
@@ -200,7 +201,7 @@
 		need.WaitUntil = now.Add(min(c.goal(), c.left()/2))
 	case c.unsent > 0:
 		// The time that an unreachable target took is not the line's.
-		need.WaitUntil = now.Add(time.Duration(waitShare * float64(c.goal())))
+		need.WaitUntil = now.Add(wait)
 	}
 	return need
 }
--- a/places/client.go
+++ b/places/client.go
@@ -72,7 +72,6 @@
 	if owner == c.Self.Address {
 		c.settle(c.Book.Ask(c.Self, id, ask))
 	} else {
-		c.expect(owner)
 		c.send(owner, message{kind: kindAsk, incarnation: c.Self.Incarnation, id: id, ask: ask})
 	}
 	select {
@@ -115,6 +114,7 @@
 	c.open[c.last] = p
 	if p.owner.IsValid() {
 		c.contact(p.owner)
+		c.expect(p.owner)
 	}
 	return c.last
 }
--- a/places/owner.go
+++ b/places/owner.go
@@ -71,7 +71,7 @@
 }
 
 // passedOver reports that an owner has been silent for so long that the next one takes
-// its place; after some more time it is tried again.
+// its place; after some more time it is tried again. The lock is held.
 func (c *Client) passedOver(owner netip.AddrPort, now time.Time) bool {
 	s := c.silences[owner]
 	if s == nil {
@@ -81,10 +81,12 @@
 	return silent >= silenceBound && silent < silenceBound+passOver
 }
 
-// expect notes that an answer of an owner is due.
+// expect notes that an answer of an owner is due; this instance's own book answers at
+// once. The lock is held.
 func (c *Client) expect(owner netip.AddrPort) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if owner == c.Self.Address {
+		return
+	}
 	if c.silences == nil {
 		c.silences = make(map[netip.AddrPort]*silence)
 	}
