--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,7 +34,8 @@
 
 const (
 	recoverWithin = 5 * time.Second
-	recoverCalls  = 120
+	// loggedLines is how many lines of each process's log a failure prints.
+	loggedLines = 12
 )
 
 func TestSoak(t *testing.T) {
@@ -65,6 +66,7 @@
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("seed %d:\n%s", seed, strings.Join(plan.lines, "\n"))
+			s.logEnds(t)
 			keepLogs(t, s, seed)
 		}
 	})
@@ -91,6 +93,20 @@
 	c.check(t, calm)
 }
 
+// logEnds prints the last lines of each process's log: a run that keeps no folder, such as
+// CI's, tells by them what a failed one was at.
+func (s *stage) logEnds(t *testing.T) {
+	for _, p := range s.nodes {
+		content, err := os.ReadFile(filepath.Join(s.folder, p.name+".log"))
+		if err != nil {
+			t.Logf("the log of %s can't be read: %v", p.name, err)
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+		t.Logf("the last of %s:\n%s", p.name, strings.Join(lines[max(len(lines)-loggedLines, 0):], "\n"))
+	}
+}
+
 func keepLogs(t *testing.T, s *stage, seed uint64) {
 	if *keep == "" {
 		return
