The draw for last places and the term for streams beside a prompt are taken out

What it guarded against, that instances all take one free place of an engine, is with the owners (node: TestInstancesTogetherRespectPlaces).

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -36,8 +36,6 @@
 	Arrived time.Time
 	// WaitUntil is when a request that found no place is refused.
 	WaitUntil time.Time
-	// EventGap is the longest pause between events that the route allows.
-	EventGap time.Duration
 	// Goal is the time within which the first token, or a plain answer, is due.
 	Goal   time.Duration
 	Prompt []shelfshelf.PromptPart
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,12 +23,6 @@
 	// safeShare is the part of its goal that a request may be expected to use up
 	// without a penalty: predictions are often off by a factor of two.
 	safeShare = 0.35
-	// besideShare is the part of the goal that each running stream counts which a long
-	// prompt would hold up beyond the pause that its route allows.
-	besideShare = 0.2
-	// contestedPer is the staleness at which one more of a target's last places is
-	// drawn for.
-	contestedPer = 120 * time.Millisecond
 	// biasShare times the staleness of loads is the most that an instance's own
 	// preference counts, in steps of one part in biasSteps.
 	biasShare = 0.3
@@ -38,8 +31,6 @@
 	pieceTokens = 2048
 	// speedHalfLife is how fast an observed speed becomes worthless without new ones.
 	speedHalfLife = 20 * time.Second
-	// gapSafety is the part of the allowed pause that may be used up.
-	gapSafety = 0.7
 	// crowdPenalty is what each request already running counts; it spreads requests
 	// whose predictions are equal.
 	crowdPenalty = 3 * time.Millisecond
@@ -94,10 +85,7 @@
 	if !t.open(need, now) {
 		return false
 	}
-	free := t.slots - t.load(now).requests - t.reserved(need)
-	// Others may have taken so many of the last places unseen.
-	contested := int(b.view.staleness / contestedPer)
-	return free > 0 && (free > contested || b.drawn(t, free, now))
+	return t.load(now).requests+t.reserved(need) < t.slots
 }
 
 // reserved is how many places a request must leave to higher tiers; plain services,
@@ -109,27 +97,10 @@
 	return shelfshelf.ReservedPlaces(t.slots, need.Tier, need.Begun)
 }
 
-// drawn reports that this instance may take one of a target's last places. All see
-// the same free place at about the same time; a draw that changes with each round of
-// statuses lets about as many have it as there are places.
-func (b *Balancer) drawn(t *targetState, free int, now time.Time) bool {
-	contenders := b.view.all
-	if t.target.DataCentre == b.DataCentre {
-		contenders = b.view.local
-	}
-	if contenders <= 1 || b.view.staleness <= 0 {
-		return true
-	}
-	round := now.UnixNano() / int64(b.view.staleness)
-	draw := xxhash.Sum64String(string(b.Self) + "/" + string(t.target.Name) + "/" + strconv.FormatInt(round, 10))
-	return int(draw%uint64(contenders)) < free
-}
-
 // cost is the expected time to the first token, with what speaks against the
 // target in the same unit.
 func (b *Balancer) cost(p *pool, t *targetState, need Need, now time.Time) time.Duration {
-	loaded := t.load(now)
-	requests := loaded.requests
+	requests := t.load(now).requests
 	expected := b.expect(p, t, need, now)
 	cost := expected + lateness(expected, need.Goal)
 	cost += time.Duration(t.failureShare(now) * float64(failurePenalty))
@@ -141,12 +112,6 @@
 		return cost
 	}
 	cost += time.Duration(outputShare * float64(need.OutputTokens) * float64(p.step(t, now)))
-	if need.EventGap > 0 && requests > 0 {
-		unread := loaded.prefill + b.unread(t, need, now)
-		if p.pause(t, unread, now) > time.Duration(gapSafety*float64(need.EventGap)) {
-			cost += time.Duration(float64(requests) * besideShare * float64(need.Goal))
-		}
-	}
 	return cost + b.ownBias(t)
 }
 
@@ -161,15 +126,6 @@
 	return time.Duration(over * over * float64(goal))
 }
 
-// pause predicts the longest pause between two events of the streams that run
-// beside the reading of so many tokens: an engine reads a piece of a prompt in each
-// step, and an event comes after some steps.
-func (p *pool) pause(t *targetState, unread int, now time.Time) time.Duration {
-	steps := max(p.spec.Engine.TokensPerEvent, 1)
-	read := float64(min(unread, steps*pieceTokens)) / p.prefillRate(t, now) * float64(time.Millisecond)
-	return time.Duration(read) + time.Duration(steps)*p.step(t, now)
-}
-
 // ownBias makes each instance prefer other targets among near equals, the same ones
 // every time. Instances that know each other's load only late would otherwise all
 // send to the one that looked best; so each mostly uses targets that it knows well.
--- a/balance/view.go
+++ b/balance/view.go
@@ -10,16 +10,11 @@
 type Fleet interface {
 	// SpreadTime is how long it takes until others know what happened here.
 	SpreadTime() time.Duration
-	// Contenders returns how many instances are heard, this one included, in this
-	// data centre and in all.
-	Contenders() (local, all int)
 }
 
 // view is what was last seen of the fleet.
 type view struct {
 	staleness time.Duration
-	local     int
-	all       int
 	at        time.Time
 }
 
@@ -30,5 +25,4 @@
 	}
 	b.view.at = now
 	b.view.staleness = b.Fleet.SpreadTime()
-	b.view.local, b.view.all = b.Fleet.Contenders()
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -184,7 +184,6 @@
 		Tier:         c.route.Tier,
 		Arrived:      c.arrived,
 		WaitUntil:    c.arrived.Add(wait),
-		EventGap:     c.route.EventGap,
 		Goal:         c.goal(),
 		Prompt:       c.call.Prompt,
 		PromptTokens: c.call.PromptTokens,
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -84,12 +84,6 @@
 	return census.Known, census.Heard
 }
 
-// Contenders returns how many instances are heard, in this data centre and in all.
-func (n *Node) Contenders() (local, all int) {
-	census := n.gossip.Census()
-	return census.Local, census.Heard
-}
-
 // instances returns how many instances there are, this one included.
 func (n *Node) instances() int {
 	return n.gossip.Census().Known
