--- a/quota/demand.go
+++ b/quota/demand.go
@@ -30,11 +30,13 @@
 	others float64
 }
 
-// note takes a sample if one is due.
+// due reports that a sample is to be taken.
+func (d *demand) due(now time.Time) bool {
+	return now.Sub(d.last.at) >= samplePeriod
+}
+
+// note takes a sample.
 func (d *demand) note(others float64, now time.Time) {
-	if now.Sub(d.last.at) < samplePeriod {
-		return
-	}
 	d.before = d.last
 	d.last = sample{at: now, others: others}
 }
--- a/quota/demand_test.go
+++ b/quota/demand_test.go
@@ -1,12 +1,17 @@
 package quota_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 
-	"github.com/shelfshelf/shelfshelf"
+	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
+
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/quota"
 )
 
 // arrivals draws requests of one customer that come by chance, of sizes up to most.
@@ -106,3 +111,30 @@
 		}
 	})
 }
+
+// BenchmarkOwn tells the use of 520 customers at an instance that hears 59 others: 4.6 ms
+// with a sample of the others' use at each word, 0.9 ms with one a second.
+func BenchmarkOwn(b *testing.B) {
+	clock := clockwork.NewFakeClock()
+	l := &quota.Ledger{
+		Clock: clock, Window: window,
+		Instances: func() (int, int) { return 60, 60 },
+		Delay:     func() time.Duration { return delay },
+	}
+	l.Start()
+	clock.Advance(window)
+	var uses []shelfshelf.CustomerUse
+	for i := range 520 {
+		customer := limited(1e6)
+		customer.Name = shelfshelf.CustomerName(fmt.Sprint(i))
+		l.Charge(customer, 1000)
+		uses = append(uses, shelfshelf.CustomerUse{Customer: shelfshelf.KeyOfCustomer(customer.Name), Amount: 1000})
+	}
+	for i := range 59 {
+		l.Heard(shelfshelf.Status{From: shelfshelf.Instance{ID: shelfshelf.InstanceID(fmt.Sprint(i))}, Uses: uses})
+	}
+	for b.Loop() {
+		clock.Advance(250 * time.Millisecond)
+		l.Own()
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -128,7 +128,9 @@
 		Cost:    a.cost(tokens),
 		Share:   float64(max(heard, 1)) / float64(max(known, 1)),
 	}
-	a.demand.note(verdict.Used-a.own.sum, l.Clock.Now())
+	if now := l.Clock.Now(); a.demand.due(now) {
+		a.demand.note(verdict.Used-a.own.sum, now)
+	}
 	verdict.Wait = l.wait(a, verdict, float64(max(heard, 1)))
 	if verdict.Wait > 0 {
 		a.demand.refusedAt = l.Clock.Now()
@@ -252,7 +254,9 @@
 	var uses []shelfshelf.CustomerUse
 	for key, a := range l.accounts {
 		a.own.advance(slotOf(l.Clock.Now().Sub(l.start), l.Window))
-		a.demand.note(l.used(key, a)-a.own.sum, l.Clock.Now())
+		if now := l.Clock.Now(); a.demand.due(now) {
+			a.demand.note(l.used(key, a)-a.own.sum, now)
+		}
 		if a.own.sum > 0 {
 			uses = append(uses, shelfshelf.CustomerUse{Customer: key, Amount: a.own.sum})
 		}
