A refusal for a limit logs what the others are expected to take

The decision has two more inputs since limits may be used up to that: othersSoon and resting stand in the line of a 429. What is decided stays the same.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -145,7 +145,8 @@
 		fields = append(fields, "customer", c.customer.Name, "tokens", c.tokens, "prompt", c.call.PromptTokens)
 	}
 	if c.status == http.StatusTooManyRequests {
-		fields = append(fields, "allowed", c.quota.Allowed, "used", c.quota.Used, "share", c.quota.Share, "retryAfter", c.quota.Wait)
+		fields = append(fields, "allowed", c.quota.Allowed, "used", c.quota.Used, "share", c.quota.Share,
+			"othersSoon", c.quota.Expected, "resting", c.quota.Resting, "retryAfter", c.quota.Wait)
 	}
 	if c.target != "" {
 		fields = append(fields, "target", c.target, "sent", c.sent, "waited", c.waited,
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -75,6 +75,11 @@
 	Cost    float64
 	// Share is the part of the limit that this instance may let through.
 	Share float64
+	// Expected is what the others are expected to take until this instance hears of it;
+	// Resting says that it keeps to its even part of what is left instead, since it has
+	// refused the customer lately.
+	Expected float64
+	Resting  bool
 	// Entry is what was charged; it is empty if nothing was.
 	Entry Entry
 }
@@ -128,9 +133,7 @@
 		Cost:    a.cost(tokens),
 		Share:   float64(max(heard, 1)) / float64(max(known, 1)),
 	}
-	if now := l.Clock.Now(); a.demand.due(now) {
-		a.demand.note(verdict.Used-a.own.sum, now)
-	}
+	l.expect(a, &verdict)
 	verdict.Wait = l.wait(a, verdict, float64(max(heard, 1)))
 	if verdict.Wait > 0 {
 		a.demand.refusedAt = l.Clock.Now()
@@ -186,7 +189,8 @@
 	left := v.Allowed*v.Share - (v.Used - unheard)
 	mayTake := left/instances - unheard + l.Slack*slackShare/instances
 	alone := unheard == 0 && v.Cost <= left*singleShare
-	if v.Cost <= mayTake || alone || v.Cost <= l.spare(a, v, left-unheard, delay) {
+	spare := !v.Resting && v.Cost <= left-unheard-v.Expected
+	if spare || v.Cost <= mayTake || alone {
 		return 0
 	}
 	if v.Cost <= left-unheard {
@@ -196,14 +200,15 @@
 	return time.Duration(a.own.until((v.Cost-(left-unheard))/instances)) * slot
 }
 
-// spare returns how much of what is left this instance may take at once, by what the
-// others are expected to take meanwhile; the lock is held.
-func (l *Ledger) spare(a *account, v Verdict, left float64, delay time.Duration) float64 {
+// expect fills in what the others are expected to take meanwhile; the lock is held.
+func (l *Ledger) expect(a *account, v *Verdict) {
 	now := l.Clock.Now()
-	if a.demand.resting(now) {
-		return 0
+	others := v.Used - a.own.sum
+	if a.demand.due(now) {
+		a.demand.note(others, now)
 	}
-	return left - a.demand.expected(v.Used-a.own.sum, now, l.Window, delay)
+	v.Expected = a.demand.expected(others, now, l.Window, l.Delay())
+	v.Resting = a.demand.resting(now)
 }
 
 // Refund takes a charge back whose request did not run.
