Soak: callers that give targets orders, and open connections that go silent for good

Connections to all targets and to one instance's store go silent without a reset while new ones work.

--- a/fake/server.go
+++ b/fake/server.go
@@ -40,10 +40,29 @@
 	Body      string
 	Path      string
 	Method    string
+	// Orders names the headers that it came with which only this system may set: a caller
+	// that sends them gives the target orders.
+	Orders []string
 	// Ended says how it ended: whole, cut or left, by the caller; empty while it runs.
 	Ended string
 }
 
+// OrderHeaders are the headers by which a target is told to set memory or places aside,
+// to copy memory, or which version of its weights to use.
+var OrderHeaders = []string{
+	"X-Shelfshelf-Hold", "X-Shelfshelf-Pin-Duration", "X-Shelfshelf-Kv-Backup", "X-Shelfshelf-Expect-Version", "Kv-From", "Kv-Fetch",
+}
+
+func ordersIn(header http.Header) []string {
+	var orders []string
+	for _, name := range OrderHeaders {
+		if header.Get(name) != "" {
+			orders = append(orders, name)
+		}
+	}
+	return orders
+}
+
 // Server is a target of the users' platform over HTTP. It is safe for concurrent
 // use.
 type Server struct {
@@ -137,6 +156,7 @@
 		Body:      string(body),
 		Path:      r.RequestURI,
 		Method:    r.Method,
+		Orders:    ordersIn(r.Header),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/shelfshelf/shelfshelf/fake"
 )
 
 // call is one request with what its caller saw.
@@ -93,6 +95,9 @@
 	request.Header.Set("X-Shelfshelf-Request-Id", one.id)
 	request.Header.Set("X-Shelfshelf-Request-Deadline", "5000")
 	request.Header.Set("Authorization", "Bearer "+one.key)
+	for _, name := range fake.OrderHeaders {
+		request.Header.Set(name, "forged")
+	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		one.err = err
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -42,7 +42,7 @@
 	}
 	for id, list := range runs {
 		for _, run := range list {
-			if run.Body != id || run.Key != "" || run.Customer != "c" {
+			if run.Body != id || run.Key != "" || run.Customer != "c" || len(run.Orders) > 0 {
 				t.Errorf("a target ran something else than was asked: %+v", run)
 			}
 		}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -58,6 +58,17 @@
 	{"target link", func(s *stage, random *rand.Rand) func() {
 		return disturb(random, s.pickTarget(random).link)
 	}},
+	{"silent connections", func(s *stage, random *rand.Rand) func() {
+		// For who calls, this is like a reset that nobody tells of.
+		for _, p := range s.nodes {
+			p.disturb()
+		}
+		s.pickNode(random).store.silence()
+		for _, t := range s.targets {
+			t.link.silence()
+		}
+		return func() {}
+	}},
 	{"targets of a pool", func(s *stage, random *rand.Rand) func() {
 		kinds := []fake.ServerFaults{
 			{Refuse: true},
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -17,6 +17,8 @@
 	mu    sync.Mutex
 	trait trait
 	open  map[net.Conn]bool
+	// silent are the open connections that carry nothing any more.
+	silent map[net.Conn]bool
 }
 
 // trait is what a link does wrong; the zero value does nothing wrong.
@@ -35,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &link{target: target, listener: listener, open: make(map[net.Conn]bool)}
+	l := &link{target: target, listener: listener, open: make(map[net.Conn]bool), silent: make(map[net.Conn]bool)}
 	t.Cleanup(func() {
 		_ = listener.Close()
 		l.reset()
@@ -54,6 +56,21 @@
 	l.trait = t
 }
 
+// silence makes all open connections silent for good, without a reset; new ones work.
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
+		l.silent[conn] = true
+	}
+}
+
+func (l *link) isSilent(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent[conn]
+}
+
 func (l *link) now() trait {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -109,6 +126,7 @@
 		_ = from.Close()
 		l.mu.Lock()
 		delete(l.open, from)
+		delete(l.silent, from)
 		l.mu.Unlock()
 	}()
 	buffer := make([]byte, 16<<10)
@@ -118,7 +136,7 @@
 		for held(l.now()) {
 			time.Sleep(10 * time.Millisecond)
 		}
-		if n > 0 {
+		if n > 0 && !l.isSilent(from) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
