--- a/node/node_test.go
+++ b/node/node_test.go
@@ -136,14 +136,20 @@
 	}
 }
 
-// A stream that can't go on is broken off: its end must not look whole.
-func TestStreamsThatCantGoOnAreBrokenOff(t *testing.T) {
-	t.Parallel()
+// newOneWayFleet returns an instance before one engine, whose streams can't go on at
+// another one.
+func newOneWayFleet(t *testing.T) (*fleet, *fake.Server, *running) {
 	f := newFleet(t)
 	f.routes[0]["CanResume"] = false
 	f.configure()
 	server := f.serve("e1", "engines", 8)
-	n := f.start()
+	return f, server, f.start()
+}
+
+// A stream that can't go on is broken off: its end must not look whole.
+func TestStreamsThatCantGoOnAreBrokenOff(t *testing.T) {
+	t.Parallel()
+	f, server, n := newOneWayFleet(t)
 	server.SetFaults(fake.ServerFaults{CutAfter: 3, CutTimes: 1})
 	if got := f.ask(n, "r1", "/s/x", nil); got.err == nil || got.body != events("r1", 3) {
 		t.Errorf("%+v", got)
@@ -153,11 +159,7 @@
 // A failure that a target gives itself reaches the caller as it is, on streams too.
 func TestFailuresOfTargetsAreHandedOn(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
-	f.routes[0]["CanResume"] = false
-	f.configure()
-	server := f.serve("e1", "engines", 8)
-	n := f.start()
+	f, server, n := newOneWayFleet(t)
 	server.SetFaults(fake.ServerFaults{Fail: true})
 	got := f.ask(n, "r1", "/s/x", nil)
 	if got.status != 500 || got.header.Get("X-Shelfshelf-Response-Signature") != server.Signature("r1") {
