One reading time, one look at the delay a charge; a target's usable is its own

Found on reading the whole change again: the time to read a prompt was computed in two places of balance; a charge asked for the delay between instances twice, which takes the lock of gossip and looks at every peer; usable no longer needed the balancer.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -43,7 +43,7 @@
 // held.
 func (b *Balancer) place(p *pool, need Need, now time.Time) *Lease {
 	b.look(now)
-	best := b.cheapest(p, need, now, func(t *targetState) bool { return b.usable(t, need, now) })
+	best := b.cheapest(p, need, now, func(t *targetState) bool { return t.usable(need, now) })
 	if best == nil {
 		return nil
 	}
@@ -84,11 +84,8 @@
 }
 
 // usable reports that a target may get this request now.
-func (b *Balancer) usable(t *targetState, need Need, now time.Time) bool {
-	if !t.open(need, now) {
-		return false
-	}
-	return t.load(now).requests < t.places(need)
+func (t *targetState) usable(need Need, now time.Time) bool {
+	return t.open(need, now) && t.load(now).requests < t.places(need)
 }
 
 // places is how many requests a target may have with this one. An engine keeps some for
@@ -163,7 +160,7 @@
 	}
 	own := b.unread(t, need, now)
 	unread := own + loaded.before(own)
-	reading := time.Duration(float64(unread) / p.prefillRate(t, now) * float64(time.Millisecond))
+	reading := p.readingTime(t, unread, now)
 	queued := max(float64(requests+1-t.slots)+b.unseen(t, requests), 0)
 	turn := float64(t.stay) / float64(t.slots)
 	return firstTokenFixed + reading + time.Duration(queued*turn)
@@ -171,8 +168,13 @@
 
 // expectStay predicts how long a request alone would keep its place at an engine.
 func (b *Balancer) expectStay(p *pool, t *targetState, need Need, now time.Time) time.Duration {
-	reading := float64(b.unread(t, need, now)) / p.prefillRate(t, now) * float64(time.Millisecond)
-	return firstTokenFixed + time.Duration(reading) + time.Duration(need.OutputTokens)*p.step(t, now)
+	reading := p.readingTime(t, b.unread(t, need, now), now)
+	return firstTokenFixed + reading + time.Duration(need.OutputTokens)*p.step(t, now)
+}
+
+// readingTime is the time that a target takes to read so many prompt tokens.
+func (p *pool) readingTime(t *targetState, tokens int, now time.Time) time.Duration {
+	return time.Duration(float64(tokens) / p.prefillRate(t, now) * float64(time.Millisecond))
 }
 
 // unread is how much of a request's prompt a target would have to read.
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -128,7 +128,7 @@
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
 	p := b.pools[a.need.Pool]
-	if p == nil || !b.usable(t, a.need, now) {
+	if p == nil || !t.usable(a.need, now) {
 		return nil
 	}
 	lease := b.grantAlone(p, t, a.need, now)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -133,8 +133,9 @@
 		Cost:    a.cost(tokens),
 		Share:   float64(max(heard, 1)) / float64(max(known, 1)),
 	}
-	l.expect(a, &verdict)
-	verdict.Wait = l.wait(a, verdict, float64(max(heard, 1)))
+	delay := l.Delay()
+	l.expect(a, &verdict, delay)
+	verdict.Wait = l.wait(a, verdict, float64(max(heard, 1)), delay)
 	if verdict.Wait > 0 {
 		a.demand.refusedAt = l.Clock.Now()
 		return verdict
@@ -182,9 +183,8 @@
 // parts alone, requests of up to 40,000 tokens were refused from 0.73 of a limit on at 78
 // instances and from 0.03 on at 360, at 0.85 of the limit asked for in calm; with this
 // none is below 0.95.
-func (l *Ledger) wait(a *account, v Verdict, instances float64) time.Duration {
+func (l *Ledger) wait(a *account, v Verdict, instances float64, delay time.Duration) time.Duration {
 	slot := l.Window / slots
-	delay := l.Delay()
 	unheard := a.own.recent(int64(delay/slot) + 1)
 	left := v.Allowed*v.Share - (v.Used - unheard)
 	mayTake := left/instances - unheard + l.Slack*slackShare/instances
@@ -201,13 +201,13 @@
 }
 
 // expect fills in what the others are expected to take meanwhile; the lock is held.
-func (l *Ledger) expect(a *account, v *Verdict) {
+func (l *Ledger) expect(a *account, v *Verdict, delay time.Duration) {
 	now := l.Clock.Now()
 	others := v.Used - a.own.sum
 	if a.demand.due(now) {
 		a.demand.note(others, now)
 	}
-	v.Expected = a.demand.expected(others, now, l.Window, l.Delay())
+	v.Expected = a.demand.expected(others, now, l.Window, delay)
 	v.Resting = a.demand.resting(now)
 }
 
