--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -229,7 +229,7 @@
 		return
 	}
 	c.Log.Info("A configuration is in force.", "revision", configuration.Revision, "from", from,
-		"age", c.Clock.Now().Sub(at), "routes", len(configuration.Bundle.Routes), "customers", len(configuration.Bundle.Customers))
+		"age", c.Clock.Now().Sub(at), "bytes", len(configuration.Encoded), "routes", len(configuration.Bundle.Routes), "customers", len(configuration.Bundle.Customers))
 	c.notify()
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/shelfshelf/shelfshelf/transfer"
 )
 
 // Metrics counts what became of requests.
@@ -27,6 +29,13 @@
 	m.set.WritePrometheus(w)
 }
 
+// Fetched counts a fetch from another instance by what was fetched.
+func (m *Metrics) Fetched(kind string, progress transfer.Progress, ok bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_fetches_total{kind=%q,ok="%t"}`, kind, ok)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_fetched_bytes_total{kind=%q,ok="%t"}`, kind, ok)).AddInt64(progress.Bytes)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`shelf_fetch_seconds{kind=%q,ok="%t"}`, kind, ok)).Update(progress.Took.Seconds())
+}
+
 func (m *Metrics) attemptFailed() {
 	m.set.GetOrCreateCounter("shelf_attempts_failed_total").Inc()
 }
--- a/node/build.go
+++ b/node/build.go
@@ -42,7 +42,8 @@
 	n.keeper = &quota.Keeper{
 		Clock: n.Clock, Log: n.Log.WithPrefix("quota"), Ledger: n.quota, Store: n.Platform.Uses, Due: n.leads,
 	}
-	n.relay = &relay.Relay{Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog}
+	n.metrics = gateway.NewMetrics()
+	n.relay = &relay.Relay{Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Fetched: n.metrics.Fetched}
 	n.relay.Init()
 	if err := n.buildGossip(); err != nil {
 		return err
@@ -81,7 +82,6 @@
 
 // buildGateway makes the part that carries requests, with its metrics.
 func (n *Node) buildGateway() {
-	n.metrics = gateway.NewMetrics()
 	n.gateway = &gateway.Server{
 		Clock:    n.Clock,
 		Log:      n.Log.WithPrefix("gateway"),
@@ -104,4 +104,11 @@
 		_, at := n.catalog.Index()
 		return n.Clock.Now().Sub(at).Seconds()
 	})
+	n.metrics.Gauge("shelf_configuration_bytes", func() float64 {
+		index, _ := n.catalog.Index()
+		if index == nil {
+			return 0
+		}
+		return float64(len(index.Encoded))
+	})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -13,6 +14,7 @@
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/catalog"
+	"github.com/shelfshelf/shelfshelf/transfer"
 )
 
 const (
@@ -30,8 +32,13 @@
 	Clock   shelfshelf.Clock
 	Log     *log.Logger
 	Catalog *catalog.Catalog
+	// Fetched is told of each fetch: what was fetched, how far it came and whether it
+	// was taken; may be nil.
+	Fetched func(kind string, progress transfer.Progress, ok bool)
 
-	client         http.Client
+	client http.Client
+	// newest is the newest revision heard of that was not in force here then.
+	newest         atomic.Uint64
 	configurations chan string
 	targets        chan string
 }
@@ -45,8 +52,8 @@
 // Handler serves what this instance knows to the others.
 func (r *Relay) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathConfiguration, r.serveConfiguration)
-	mux.HandleFunc("GET "+pathTargets, r.serveTargets)
+	mux.HandleFunc("GET /"+kindConfiguration, r.serveConfiguration)
+	mux.HandleFunc("GET /"+kindTargets, r.serveTargets)
 	return mux
 }
 
@@ -76,6 +83,7 @@
 		http.Error(w, "can't be encoded", http.StatusInternalServerError)
 		return
 	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	if _, err := w.Write(content); err != nil {
 		r.Log.Debug("An instance did not take what it asked for.", "error", err)
 	}
@@ -88,6 +96,7 @@
 	switch {
 	case status.Revision == 0:
 	case index == nil || status.Revision > index.Revision:
+		r.noteNewer(status, index)
 		offer(r.configurations, status.From.Address)
 	case status.Revision == index.Revision && !at.IsZero():
 		r.Catalog.Confirm(status.Revision, at.Add(-status.RevisionAge))
@@ -101,6 +110,19 @@
 	}
 }
 
+// noteNewer tells of a revision that is newer than the one in force, once.
+func (r *Relay) noteNewer(status shelfshelf.Status, index *catalog.Index) {
+	newest := r.newest.Load()
+	if uint64(status.Revision) <= newest || !r.newest.CompareAndSwap(newest, uint64(status.Revision)) {
+		return
+	}
+	var inForce shelfshelf.Revision
+	if index != nil {
+		inForce = index.Revision
+	}
+	r.Log.Info("A newer configuration is known of.", "revision", status.Revision, "from", status.From.ID, "inForce", inForce)
+}
+
 // offer leaves an address to fetch from, unless one waits already.
 func offer(addresses chan string, address string) {
 	select {
@@ -113,20 +135,18 @@
 func (r *Relay) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var group run.Group
-	group.Add(func() error { return r.loop(ctx, r.configurations, r.fetchConfiguration) }, func(error) { cancel() })
-	group.Add(func() error { return r.loop(ctx, r.targets, r.fetchTargets) }, func(error) { cancel() })
+	group.Add(func() error { return r.loop(ctx, r.configurations, kindConfiguration, r.takeConfiguration) }, func(error) { cancel() })
+	group.Add(func() error { return r.loop(ctx, r.targets, kindTargets, r.takeTargets) }, func(error) { cancel() })
 	return group.Run()
 }
 
-func (r *Relay) loop(ctx context.Context, addresses <-chan string, fetch func(context.Context, string) error) error {
+func (r *Relay) loop(ctx context.Context, addresses <-chan string, kind string, take func([]byte, time.Time, string) error) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case address := <-addresses:
-			if err := fetch(ctx, address); err != nil && ctx.Err() == nil {
-				r.Log.Warn("Another instance gave no knowledge.", "from", address, "error", err)
-			}
+			r.fetch(ctx, address, kind, take)
 		}
 		select {
 		case <-ctx.Done():
@@ -136,48 +156,55 @@
 	}
 }
 
-func (r *Relay) fetchConfiguration(ctx context.Context, address string) error {
+// fetch takes what another instance knows, and tells of it.
+func (r *Relay) fetch(ctx context.Context, address, kind string, take func([]byte, time.Time, string) error) {
 	asked := r.Clock.Now()
-	content, err := r.fetch(ctx, address, pathConfiguration)
+	answer, err := r.ask(ctx, address, kind)
+	if err == nil {
+		err = take(answer.Body, asked, address)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if r.Fetched != nil {
+		r.Fetched(kind, answer.Progress, err == nil)
+	}
+	fields := []any{"kind", kind, "from", address, "bytes", answer.Bytes, "expected", answer.Expected, "first", answer.First, "took", answer.Took}
 	if err != nil {
-		return err
+		r.Log.Warn("Another instance gave no knowledge.", append(fields, "error", err)...)
+		return
 	}
+	r.Log.Info("Another instance gave knowledge.", fields...)
+}
+
+func (r *Relay) takeConfiguration(content []byte, asked time.Time, from string) error {
 	var wire wireConfiguration
 	if err := cbor.Unmarshal(content, &wire); err != nil {
 		return eris.Wrap(err, "decode configuration")
 	}
-	return r.Catalog.Offer(wire.Encoded, asked.Add(-time.Duration(wire.Age)), address)
+	return r.Catalog.Offer(wire.Encoded, asked.Add(-time.Duration(wire.Age)), from)
 }
 
-func (r *Relay) fetchTargets(ctx context.Context, address string) error {
-	asked := r.Clock.Now()
-	content, err := r.fetch(ctx, address, pathTargets)
-	if err != nil {
-		return err
-	}
+func (r *Relay) takeTargets(content []byte, asked time.Time, from string) error {
 	snapshot, err := decodeTargets(content, asked)
 	if err != nil {
 		return err
 	}
-	r.Catalog.OfferTargets(snapshot, address)
+	r.Catalog.OfferTargets(snapshot, from)
 	return nil
 }
 
-func (r *Relay) fetch(ctx context.Context, address, path string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+func (r *Relay) ask(ctx context.Context, address, kind string) (transfer.Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/"+kind, nil)
 	if err != nil {
-		return nil, eris.Wrap(err, "ask another instance")
+		return transfer.Answer{}, eris.Wrap(err, "ask another instance")
 	}
-	response, err := r.client.Do(request)
+	answer, err := transfer.Do(r.Clock, &r.client, request, transfer.Limits{Whole: fetchTimeout, Bytes: maxFetched})
 	if err != nil {
-		return nil, eris.Wrap(err, "ask another instance")
+		return answer, eris.Wrap(err, "ask another instance")
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("another instance answered %d", response.StatusCode)
+	if answer.Status != http.StatusOK {
+		return answer, eris.Errorf("another instance answered %d", answer.Status)
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxFetched))
-	return content, eris.Wrap(err, "read another instance's answer")
+	return answer, nil
 }
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -10,10 +10,10 @@
 	"github.com/shelfshelf/shelfshelf/catalog"
 )
 
-// The paths between instances.
+// What instances hand to each other, each at a path of its name.
 const (
-	pathConfiguration = "/configuration"
-	pathTargets       = "/targets"
+	kindConfiguration = "configuration"
+	kindTargets       = "targets"
 )
 
 type (
