--- /dev/null
+++ b/fake/network.go
@@ -0,0 +1,177 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+// packet is how many bytes go over a link at once.
+const packet = 4 << 10
+
+// Network joins machines in memory. What a machine sends and receives shares its link,
+// whatever connection it is on. It is safe for concurrent use.
+type Network struct {
+	Clock shelfshelf.Clock
+
+	mu        sync.Mutex
+	listeners map[string]*networkListener
+	links     map[string]*link
+	received  map[string]int64
+}
+
+// NewNetwork returns a network without machines.
+func NewNetwork(clock shelfshelf.Clock) *Network {
+	return &Network{
+		Clock: clock, listeners: make(map[string]*networkListener),
+		links: make(map[string]*link), received: make(map[string]int64),
+	}
+}
+
+// SetRate bounds a machine's link, in bytes a second; a machine that was never bounded
+// sends and receives without delay.
+func (n *Network) SetRate(machine string, rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[machine] = &link{clock: n.Clock, rate: rate}
+}
+
+// Received returns how many bytes have reached a machine.
+func (n *Network) Received(machine string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.received[machine]
+}
+
+// Listen takes connections to a machine's port.
+func (n *Network) Listen(machine, port string) net.Listener {
+	l := &networkListener{
+		address: networkAddress(net.JoinHostPort(machine, port)),
+		taken:   make(chan net.Conn), closed: make(chan struct{}),
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[l.address.String()] = l
+	return l
+}
+
+// Dialer returns the dial function of a machine.
+func (n *Network) Dialer(machine string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		n.mu.Lock()
+		l := n.listeners[address]
+		n.mu.Unlock()
+		refused := &net.OpError{Op: "dial", Net: "tcp", Addr: networkAddress(address), Err: syscall.ECONNREFUSED}
+		if l == nil {
+			return nil, refused
+		}
+		other, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		here, there := net.Pipe()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-l.closed:
+			return nil, refused
+		case l.taken <- &networkConn{Conn: there, network: n, from: other, to: machine}:
+			return &networkConn{Conn: here, network: n, from: machine, to: other}, nil
+		}
+	}
+}
+
+// carry waits until so many bytes have gone over the links of both machines.
+func (n *Network) carry(from, to string, size int) {
+	n.mu.Lock()
+	n.received[to] += int64(size)
+	until := n.Clock.Now()
+	for _, machine := range []string{from, to} {
+		if l := n.links[machine]; l != nil {
+			until = maxTime(until, l.reserve(size))
+		}
+	}
+	n.mu.Unlock()
+	if wait := until.Sub(n.Clock.Now()); wait > 0 {
+		<-n.Clock.After(wait)
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// link is the one way into and out of a machine.
+type link struct {
+	clock shelfshelf.Clock
+	rate  int
+	// free is when all that was sent so far has gone over it.
+	free time.Time
+}
+
+// reserve returns when so many more bytes have gone over the link.
+func (l *link) reserve(size int) time.Time {
+	l.free = maxTime(l.free, l.clock.Now()).Add(time.Duration(size) * time.Second / time.Duration(l.rate))
+	return l.free
+}
+
+// networkAddress is a machine and a port.
+type networkAddress string
+
+// Network returns what net calls this kind of address.
+func (a networkAddress) Network() string { return "tcp" }
+
+// String returns the machine and the port.
+func (a networkAddress) String() string { return string(a) }
+
+type networkListener struct {
+	address networkAddress
+	taken   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *networkListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.taken:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *networkListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *networkListener) Addr() net.Addr { return l.address }
+
+// networkConn is one end of a connection.
+type networkConn struct {
+	net.Conn
+	network  *Network
+	from, to string
+}
+
+func (c *networkConn) Write(content []byte) (int, error) {
+	written := 0
+	for len(content) > 0 {
+		size := min(len(content), packet)
+		c.network.carry(c.from, c.to, size)
+		n, err := c.Conn.Write(content[:size])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		content = content[size:]
+	}
+	return written, nil
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -22,6 +23,8 @@
 	fetchTimeout = 600 * time.Millisecond
 	// fetchPause is the least time between two fetches of the same kind.
 	fetchPause = 100 * time.Millisecond
+	// idleTimeout is how long a connection to another instance is kept unused.
+	idleTimeout = 90 * time.Second
 	// maxFetched bounds what is fetched, in bytes.
 	maxFetched = 16 << 20
 )
@@ -35,6 +38,8 @@
 	// Fetched is told of each fetch: what was fetched, how far it came and whether it
 	// was taken; may be nil.
 	Fetched func(kind string, progress transfer.Progress, ok bool)
+	// Dial opens connections to the others; nil means the operating system's.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	client http.Client
 	// newest is the newest revision heard of that was not in force here then.
@@ -47,6 +52,7 @@
 func (r *Relay) Init() {
 	r.configurations = make(chan string, 1)
 	r.targets = make(chan string, 1)
+	r.client.Transport = &http.Transport{DialContext: r.Dial, DisableCompression: true, IdleConnTimeout: idleTimeout}
 }
 
 // Handler serves what this instance knows to the others.
