--- a/gateway/request.go
+++ b/gateway/request.go
@@ -142,7 +142,8 @@
 		fields = append(fields, "route", c.route.Name)
 	}
 	if c.customer != nil {
-		fields = append(fields, "customer", c.customer.Name, "tokens", c.tokens, "prompt", c.call.PromptTokens)
+		fields = append(fields, "customer", c.customer.Name, "tokens", c.tokens, "prompt", c.call.PromptTokens,
+			"outputHint", c.call.OutputHint)
 	}
 	if c.status == http.StatusTooManyRequests {
 		fields = append(fields, "allowed", c.quota.Allowed, "used", c.quota.Used, "share", c.quota.Share,
--- a/relay/incident_test.go
+++ b/relay/incident_test.go
@@ -210,4 +210,3 @@
 	lines := l.Lines(with)
 	return fmt.Sprintln(lines[max(len(lines)-count, 0):])
 }
-
