Configurations go between instances in parts; fetches end by silence, not by time

Cause: a fetch from another instance had 0.6 s, a read of the store 0.7 to 1 s for the whole, whatever its size and the link; what had come was thrown away. Ruled out by the lines added before: slow senders (first byte after 4 ms), a slow processor (2 to 3% of a core), a store that is short (no refusal).

Now only the time without another byte is bounded (package transfer, for both clients). Between instances the configuration goes as a list of parts cut by content (package parts), of which only those that are not here are asked for, packed, 64 KB an answer; parts that have come are kept for the next try with whatever instance. An offer of what is in force already is passed over: each instance fetched twice. A read of the store ends when another instance has told what it was to bring.

--- a/catalog.go
+++ b/catalog.go
@@ -41,7 +41,8 @@
 }
 
 // CatalogSource is where configuration and targets are kept. Errors are
-// ErrHistoryGone or ErrUnavailable, possibly wrapped.
+// ErrHistoryGone or ErrUnavailable, possibly wrapped. A read ends by itself when the
+// source falls silent, however long an answer that goes on may take.
 type CatalogSource interface {
 	// ReadConfiguration returns the configuration as it stands.
 	ReadConfiguration(ctx context.Context) (ConfigurationUpdate, error)
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -20,8 +21,6 @@
 	targetsPeriod = 3 * time.Second
 	// targetsSlack is how much older knowledge of targets gets for that.
 	targetsSlack = 2 * (targetsPeriod - defaultConfirmPeriod)
-	// readTimeout bounds a read of the whole.
-	readTimeout = time.Second
 	// followPause is how often an instance that doesn't read the source looks whether
 	// it has to.
 	followPause = 50 * time.Millisecond
@@ -33,6 +32,9 @@
 	returnGrace = 2 * time.Second
 )
 
+// errNotNeeded ends a read of what has come from another instance.
+var errNotNeeded = errors.New("another instance has told it")
+
 // Catalog keeps the configuration and the targets. Fields are set before Run. It
 // is safe for concurrent use.
 type Catalog struct {
@@ -139,7 +141,12 @@
 // followConfiguration reads once and returns the cursor of the next read.
 func (c *Catalog) followConfiguration(ctx context.Context, follower *follower, cursor uint64, wait time.Duration) uint64 {
 	began := c.Clock.Now()
-	update, err := c.readConfiguration(ctx, cursor, wait)
+	read, end := c.whileNeeded(ctx, c.configurationKnown, 0)
+	defer end()
+	update, err := c.readConfiguration(read, cursor, wait)
+	if err != nil && errors.Is(context.Cause(read), errNotNeeded) {
+		return cursor
+	}
 	if !follower.settle(ctx, err) {
 		return 0
 	}
@@ -164,12 +171,7 @@
 // what it hears from the others is too old. It returns false at the context's end.
 func (c *Catalog) due(ctx context.Context, known func() time.Time, slack time.Duration) bool {
 	for ctx.Err() == nil {
-		at := known()
-		if c.Follow == nil || at.IsZero() {
-			return true
-		}
-		limit := c.Follow()
-		if limit == 0 || c.Clock.Now().Sub(at) >= limit+slack {
+		if c.needed(known, slack) {
 			return true
 		}
 		select {
@@ -180,6 +182,36 @@
 	return false
 }
 
+// needed reports that this instance is to read the source now.
+func (c *Catalog) needed(known func() time.Time, slack time.Duration) bool {
+	at := known()
+	if c.Follow == nil || at.IsZero() {
+		return true
+	}
+	limit := c.Follow()
+	return limit == 0 || c.Clock.Now().Sub(at) >= limit+slack
+}
+
+// whileNeeded returns a context for one read, which ends with errNotNeeded as soon as
+// another instance has told what the read is to bring: on a narrow link a read of the
+// whole takes seconds, and all else that goes over it waits meanwhile.
+func (c *Catalog) whileNeeded(ctx context.Context, known func() time.Time, slack time.Duration) (context.Context, context.CancelFunc) {
+	read, cancel := context.WithCancelCause(ctx)
+	go c.runWhileNeeded(read, cancel, known, slack)
+	return read, func() { cancel(nil) }
+}
+
+func (c *Catalog) runWhileNeeded(ctx context.Context, cancel context.CancelCauseFunc, known func() time.Time, slack time.Duration) {
+	for c.needed(known, slack) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Clock.After(followPause):
+		}
+	}
+	cancel(errNotNeeded)
+}
+
 func (c *Catalog) configurationKnown() time.Time {
 	_, at := c.Index()
 	return at
@@ -205,8 +237,6 @@
 	if cursor > 0 {
 		return c.Source.AwaitConfiguration(ctx, cursor, wait)
 	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	return c.Source.ReadConfiguration(ctx)
 }
 
--- a/catalog/targets.go
+++ b/catalog/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -16,7 +17,13 @@
 	var cursor uint64
 	for c.due(ctx, c.targetsKnown, targetsSlack) {
 		began := c.Clock.Now()
-		update, err := c.readTargets(ctx, cursor)
+		read, end := c.whileNeeded(ctx, c.targetsKnown, targetsSlack)
+		update, err := c.readTargets(read, cursor)
+		told := err != nil && errors.Is(context.Cause(read), errNotNeeded)
+		end()
+		if told {
+			continue
+		}
 		if !follower.settle(ctx, err) {
 			cursor = 0
 			continue
@@ -31,8 +38,6 @@
 	if cursor > 0 {
 		return c.Source.AwaitTargets(ctx, cursor, targetsPeriod)
 	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	return c.Source.ReadTargets(ctx)
 }
 
--- a/fake/network.go
+++ b/fake/network.go
@@ -22,13 +22,14 @@
 	listeners map[string]*networkListener
 	links     map[string]*link
 	received  map[string]int64
+	conns     map[*networkConn]bool
 }
 
 // NewNetwork returns a network without machines.
 func NewNetwork(clock shelfshelf.Clock) *Network {
 	return &Network{
 		Clock: clock, listeners: make(map[string]*networkListener),
-		links: make(map[string]*link), received: make(map[string]int64),
+		links: make(map[string]*link), received: make(map[string]int64), conns: make(map[*networkConn]bool),
 	}
 }
 
@@ -47,6 +48,21 @@
 	return n.received[machine]
 }
 
+// BreakAll breaks all connections of a machine.
+func (n *Network) BreakAll(machine string) {
+	n.mu.Lock()
+	var broken []*networkConn
+	for conn := range n.conns {
+		if conn.from == machine || conn.to == machine {
+			broken = append(broken, conn)
+		}
+	}
+	n.mu.Unlock()
+	for _, conn := range broken {
+		_ = conn.Close()
+	}
+}
+
 // Listen takes connections to a machine's port.
 func (n *Network) Listen(machine, port string) net.Listener {
 	l := &networkListener{
@@ -79,12 +95,20 @@
 			return nil, ctx.Err()
 		case <-l.closed:
 			return nil, refused
-		case l.taken <- &networkConn{Conn: there, network: n, from: other, to: machine}:
-			return &networkConn{Conn: here, network: n, from: machine, to: other}, nil
+		case l.taken <- n.join(there, other, machine):
+			return n.join(here, machine, other), nil
 		}
 	}
 }
 
+func (n *Network) join(conn net.Conn, from, to string) *networkConn {
+	joined := &networkConn{Conn: conn, network: n, from: from, to: to}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[joined] = true
+	return joined
+}
+
 // carry waits until so many bytes have gone over the links of both machines.
 func (n *Network) carry(from, to string, size int) {
 	n.mu.Lock()
@@ -175,3 +199,11 @@
 	}
 	return written, nil
 }
+
+// Close closes both ends.
+func (c *networkConn) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/relay/incident_test.go
+++ b/relay/incident_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -38,6 +39,7 @@
 	ctx       context.Context
 	network   *fake.Network
 	platform  *fake.Platform
+	mu        sync.Mutex
 	members   []*member
 	log       *fake.Log
 	random    *rand.Rand
@@ -94,15 +96,20 @@
 		d.serve(m.name, m.relay.Handler())
 		d.ended.Go(func() { _ = m.catalog.Run(d.ctx) })
 		d.ended.Go(func() { _ = m.relay.Run(d.ctx) })
+		d.mu.Lock()
 		d.members = append(d.members, m)
+		d.mu.Unlock()
 	}
 }
 
 // tell lets every instance hear of another one now and then.
 func (d *deployment) tell() {
 	for d.ctx.Err() == nil {
-		for _, m := range d.members {
-			if other := d.members[d.random.IntN(len(d.members))]; other != m {
+		d.mu.Lock()
+		members := slices.Clone(d.members)
+		d.mu.Unlock()
+		for _, m := range members {
+			if other := members[d.random.IntN(len(members))]; other != m {
 				m.relay.Heard(other.status(), time.Now())
 			}
 		}
@@ -206,6 +213,63 @@
 	})
 }
 
+// With nobody to hear of, as after a loss of all, each instance reads the whole itself:
+// 8,000 routes are 2 MB from the store, 1.6 s of a link of 10 Mbit/s.
+func TestSmallInstancesStartAlone(t *testing.T) {
+	t.Parallel()
+	simulate(t, func(d *deployment) {
+		revision := d.configure(8000)
+		d.start(1, narrow, 0)
+		if missing := d.missing(revision, inForce); missing != nil {
+			t.Errorf("not read at the start:\n%s", lastLines(d.log, "A read of the source failed.", 3))
+		}
+	})
+}
+
+// With 20,000 routes in force, one more costs the narrow link of an instance a few parts
+// and the list of all (14 KB), not 3.8 MB.
+func TestChangesCostWhatChanges(t *testing.T) {
+	t.Parallel()
+	simulate(t, func(d *deployment) {
+		const most = 64 << 10
+		d.start(1, wide, 0)
+		d.start(1, narrow, 2700*time.Millisecond)
+		if missing := d.missing(d.configure(20000), inForce); missing != nil {
+			t.Fatalf("not in force on %v", missing)
+		}
+		before := d.network.Received("n1")
+		if missing := d.missing(d.configure(20001), inForce); missing != nil {
+			t.Errorf("one more route is not in force on %v", missing)
+		}
+		if cost := d.network.Received("n1") - before; cost > most {
+			t.Errorf("one more route cost %d bytes", cost)
+		}
+	})
+}
+
+// A fetch that breaks off is gone on with at another instance, with what has come. Each
+// of the two that know the configuration falls silent in the middle of the parts.
+func TestBrokenFetchesGoOn(t *testing.T) {
+	t.Parallel()
+	simulate(t, func(d *deployment) {
+		const knowing = 2
+		d.start(knowing, narrow, 0)
+		revision := d.configure(8000)
+		if missing := d.missing(revision, 2*inForce); missing != nil {
+			t.Fatalf("not in force on %v", missing)
+		}
+		d.start(1, narrow, time.Hour)
+		late := d.members[knowing]
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			d.network.BreakAll(late.name)
+		}
+		if missing := d.missing(revision, inForce); missing != nil {
+			t.Errorf("not in force on %v:\n%s", missing, lastLines(d.log, "gave no knowledge", 3))
+		}
+	})
+}
+
 func lastLines(l *fake.Log, with string, count int) string {
 	lines := l.Lines(with)
 	return fmt.Sprintln(lines[max(len(lines)-count, 0):])
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,26 +1,30 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/catalog"
+	"github.com/shelfshelf/shelfshelf/parts"
 	"github.com/shelfshelf/shelfshelf/transfer"
 )
 
 const (
-	// fetchTimeout bounds one fetch from another instance.
-	fetchTimeout = 600 * time.Millisecond
+	// answerTime bounds the time until another instance's answer begins, and the time
+	// without another byte of it. The whole has no bound, or a link too narrow to carry it
+	// in that time would never have it.
+	answerTime = 600 * time.Millisecond
 	// fetchPause is the least time between two fetches of the same kind.
 	fetchPause = 100 * time.Millisecond
 	// idleTimeout is how long a connection to another instance is kept unused.
@@ -44,35 +48,39 @@
 	client http.Client
 	// newest is the newest revision heard of that was not in force here then.
 	newest         atomic.Uint64
-	configurations chan string
-	targets        chan string
+	configurations chan offer
+	targets        chan offer
+
+	mu sync.Mutex
+	// cut is the configuration in force in parts, once it was asked for.
+	cut *cutConfiguration
+	// come are parts of a configuration that is still to be put together.
+	come map[parts.ID][]byte
 }
 
-// Init makes the parts; it is called before Heard and Run.
+// offer is another instance's word that it knows something newer.
+type offer struct {
+	address string
+	// wanted reports that it is still newer than what is known here.
+	wanted func() bool
+}
+
+// Init makes the parts that Heard and Run need; it is called before them.
 func (r *Relay) Init() {
-	r.configurations = make(chan string, 1)
-	r.targets = make(chan string, 1)
+	r.configurations = make(chan offer, 1)
+	r.targets = make(chan offer, 1)
 	r.client.Transport = &http.Transport{DialContext: r.Dial, DisableCompression: true, IdleConnTimeout: idleTimeout}
 }
 
 // Handler serves what this instance knows to the others.
 func (r *Relay) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /"+kindConfiguration, r.serveConfiguration)
+	mux.HandleFunc("GET /"+kindConfiguration, r.serveManifest)
+	mux.HandleFunc("POST /"+kindParts, r.serveParts)
 	mux.HandleFunc("GET /"+kindTargets, r.serveTargets)
 	return mux
 }
 
-func (r *Relay) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
-	index, at := r.Catalog.Index()
-	if index == nil {
-		http.Error(w, "no configuration is known", http.StatusServiceUnavailable)
-		return
-	}
-	content, err := cbor.Marshal(wireConfiguration{Age: int64(r.Clock.Now().Sub(at)), Encoded: index.Encoded})
-	r.write(w, content, err)
-}
-
 func (r *Relay) serveTargets(w http.ResponseWriter, _ *http.Request) {
 	snapshot := r.Catalog.Targets()
 	if snapshot.At.IsZero() {
@@ -103,19 +111,28 @@
 	case status.Revision == 0:
 	case index == nil || status.Revision > index.Revision:
 		r.noteNewer(status, index)
-		offer(r.configurations, status.From.Address)
+		leave(r.configurations, offer{status.From.Address, func() bool { return r.behind(status.Revision) }})
 	case status.Revision == index.Revision && !at.IsZero():
 		r.Catalog.Confirm(status.Revision, at.Add(-status.RevisionAge))
 	}
 	version, _ := r.Catalog.TargetsKnown()
 	switch {
 	case status.TargetsVersion > version:
-		offer(r.targets, status.From.Address)
+		leave(r.targets, offer{status.From.Address, func() bool {
+			known, _ := r.Catalog.TargetsKnown()
+			return status.TargetsVersion > known
+		}})
 	case status.TargetsVersion == version && status.TargetsVersion > 0 && !at.IsZero():
 		r.Catalog.ConfirmTargets(status.TargetsVersion, at.Add(-status.TargetsAge))
 	}
 }
 
+// behind reports that a revision is newer than the one in force.
+func (r *Relay) behind(revision shelfshelf.Revision) bool {
+	index, _ := r.Catalog.Index()
+	return index == nil || revision > index.Revision
+}
+
 // noteNewer tells of a revision that is newer than the one in force, once.
 func (r *Relay) noteNewer(status shelfshelf.Status, index *catalog.Index) {
 	newest := r.newest.Load()
@@ -129,10 +146,10 @@
 	r.Log.Info("A newer configuration is known of.", "revision", status.Revision, "from", status.From.ID, "inForce", inForce)
 }
 
-// offer leaves an address to fetch from, unless one waits already.
-func offer(addresses chan string, address string) {
+// leave leaves an offer, unless one waits already.
+func leave(offers chan offer, o offer) {
 	select {
-	case addresses <- address:
+	case offers <- o:
 	default:
 	}
 }
@@ -141,18 +158,22 @@
 func (r *Relay) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var group run.Group
-	group.Add(func() error { return r.loop(ctx, r.configurations, kindConfiguration, r.takeConfiguration) }, func(error) { cancel() })
-	group.Add(func() error { return r.loop(ctx, r.targets, kindTargets, r.takeTargets) }, func(error) { cancel() })
+	group.Add(func() error { return r.loop(ctx, r.configurations, kindConfiguration, r.fetchConfiguration) }, func(error) { cancel() })
+	group.Add(func() error { return r.loop(ctx, r.targets, kindTargets, r.fetchTargets) }, func(error) { cancel() })
 	return group.Run()
 }
 
-func (r *Relay) loop(ctx context.Context, addresses <-chan string, kind string, take func([]byte, time.Time, string) error) error {
+func (r *Relay) loop(ctx context.Context, offers <-chan offer, kind string, fetch func(context.Context, *exchange) error) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case address := <-addresses:
-			r.fetch(ctx, address, kind, take)
+		case o := <-offers:
+			// A second fetch of what has come meanwhile would fill the link for nothing.
+			if !o.wanted() {
+				continue
+			}
+			r.take(ctx, o.address, kind, fetch)
 		}
 		select {
 		case <-ctx.Done():
@@ -162,20 +183,18 @@
 	}
 }
 
-// fetch takes what another instance knows, and tells of it.
-func (r *Relay) fetch(ctx context.Context, address, kind string, take func([]byte, time.Time, string) error) {
-	asked := r.Clock.Now()
-	answer, err := r.ask(ctx, address, kind)
-	if err == nil {
-		err = take(answer.Body, asked, address)
-	}
+// take fetches what another instance knows, and tells of it.
+func (r *Relay) take(ctx context.Context, address, kind string, fetch func(context.Context, *exchange) error) {
+	e := &exchange{relay: r, address: address, began: r.Clock.Now()}
+	err := fetch(ctx, e)
 	if ctx.Err() != nil {
 		return
 	}
+	e.progress.Took = r.Clock.Now().Sub(e.began)
 	if r.Fetched != nil {
-		r.Fetched(kind, answer.Progress, err == nil)
+		r.Fetched(kind, e.progress, err == nil)
 	}
-	fields := []any{"kind", kind, "from", address, "bytes", answer.Bytes, "expected", answer.Expected, "first", answer.First, "took", answer.Took}
+	fields := []any{"kind", kind, "from", address, "bytes", e.progress.Bytes, "asks", e.asks, "first", e.progress.First, "took", e.progress.Took}
 	if err != nil {
 		r.Log.Warn("Another instance gave no knowledge.", append(fields, "error", err)...)
 		return
@@ -183,34 +202,46 @@
 	r.Log.Info("Another instance gave knowledge.", fields...)
 }
 
-func (r *Relay) takeConfiguration(content []byte, asked time.Time, from string) error {
-	var wire wireConfiguration
-	if err := cbor.Unmarshal(content, &wire); err != nil {
-		return eris.Wrap(err, "decode configuration")
+func (r *Relay) fetchTargets(ctx context.Context, e *exchange) error {
+	content, err := e.ask(ctx, http.MethodGet, kindTargets, nil)
+	if err != nil {
+		return err
 	}
-	return r.Catalog.Offer(wire.Encoded, asked.Add(-time.Duration(wire.Age)), from)
-}
-
-func (r *Relay) takeTargets(content []byte, asked time.Time, from string) error {
-	snapshot, err := decodeTargets(content, asked)
+	snapshot, err := decodeTargets(content, e.began)
 	if err != nil {
 		return err
 	}
-	r.Catalog.OfferTargets(snapshot, from)
+	r.Catalog.OfferTargets(snapshot, e.address)
 	return nil
 }
 
-func (r *Relay) ask(ctx context.Context, address, kind string) (transfer.Answer, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/"+kind, nil)
+// exchange is what is asked of another instance for one piece of knowledge.
+type exchange struct {
+	relay    *Relay
+	address  string
+	began    time.Time
+	asks     int
+	progress transfer.Progress
+}
+
+// ask asks once and adds up how far the exchange has come.
+func (e *exchange) ask(ctx context.Context, method, kind string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+e.address+"/"+kind, bytes.NewReader(body))
 	if err != nil {
-		return transfer.Answer{}, eris.Wrap(err, "ask another instance")
+		return nil, eris.Wrap(err, "ask another instance")
+	}
+	limits := transfer.Limits{First: answerTime, Silence: answerTime, Bytes: maxFetched}
+	answer, err := transfer.Do(e.relay.Clock, &e.relay.client, request, limits)
+	if e.asks == 0 {
+		e.progress.First = answer.First
 	}
-	answer, err := transfer.Do(r.Clock, &r.client, request, transfer.Limits{Whole: fetchTimeout, Bytes: maxFetched})
+	e.asks++
+	e.progress.Bytes += answer.Bytes
 	if err != nil {
-		return answer, eris.Wrap(err, "ask another instance")
+		return nil, eris.Wrap(err, "ask another instance")
 	}
 	if answer.Status != http.StatusOK {
-		return answer, eris.Errorf("another instance answered %d", answer.Status)
+		return nil, eris.Errorf("another instance answered %d", answer.Status)
 	}
-	return answer, nil
+	return answer.Body, nil
 }
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -8,20 +8,26 @@
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/catalog"
+	"github.com/shelfshelf/shelfshelf/parts"
 )
 
 // What instances hand to each other, each at a path of its name.
 const (
+	// kindConfiguration is the list of a configuration's parts, kindParts are such parts.
 	kindConfiguration = "configuration"
+	kindParts         = "parts"
 	kindTargets       = "targets"
 )
 
 type (
-	wireConfiguration struct {
+	wireManifest struct {
 		_ struct{} `cbor:",toarray"`
 		// Age is how long ago it was known to be the newest, in nanoseconds.
-		Age     int64
-		Encoded []byte
+		Age      int64
+		Revision uint64
+		Size     int
+		// IDs are the names of the parts, one after the other.
+		IDs []byte
 	}
 	wireTargets struct {
 		_       struct{} `cbor:",toarray"`
@@ -43,6 +49,57 @@
 	}
 )
 
+func encodeManifest(m manifest) ([]byte, error) {
+	wire := wireManifest{Age: int64(m.age), Revision: uint64(m.revision), Size: m.size, IDs: encodeIDs(m.ids)}
+	content, err := cbor.Marshal(wire)
+	return content, eris.Wrap(err, "encode configuration")
+}
+
+func decodeManifest(content []byte) (manifest, error) {
+	var wire wireManifest
+	if err := cbor.Unmarshal(content, &wire); err != nil {
+		return manifest{}, eris.Wrap(err, "decode configuration")
+	}
+	ids, err := decodeIDs(wire.IDs)
+	if err != nil {
+		return manifest{}, err
+	}
+	if wire.Size < 0 || wire.Size > maxFetched {
+		return manifest{}, eris.Errorf("decode configuration: a size of %d bytes", wire.Size)
+	}
+	return manifest{age: time.Duration(wire.Age), revision: shelfshelf.Revision(wire.Revision), size: wire.Size, ids: ids}, nil
+}
+
+func encodeIDs(ids []parts.ID) []byte {
+	var content []byte
+	for _, id := range ids {
+		content = append(content, id[:]...)
+	}
+	return content
+}
+
+func decodeIDs(content []byte) ([]parts.ID, error) {
+	var ids []parts.ID
+	for ; len(content) >= len(parts.ID{}); content = content[len(parts.ID{}):] {
+		ids = append(ids, parts.ID(content[:len(parts.ID{})]))
+	}
+	if len(content) > 0 {
+		return nil, eris.New("decode names of parts: the last one is cut off")
+	}
+	return ids, nil
+}
+
+func encodeParts(packed [][]byte) ([]byte, error) {
+	content, err := cbor.Marshal(packed)
+	return content, eris.Wrap(err, "encode parts")
+}
+
+func decodeParts(content []byte) ([][]byte, error) {
+	var packed [][]byte
+	err := cbor.Unmarshal(content, &packed)
+	return packed, eris.Wrap(err, "decode parts")
+}
+
 func encodeTargets(snapshot catalog.Snapshot, now time.Time) ([]byte, error) {
 	wire := wireTargets{Age: int64(now.Sub(snapshot.At)), Version: snapshot.Version}
 	for _, target := range snapshot.Targets {
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -13,16 +13,23 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
-// pieceSize is how much of an answer is read at once, in bytes: some packets.
+// pieceSize is how much of an answer counts as something more of it, in bytes: some
+// packets, which a link of 1 Mbit/s carries in 130 ms.
 const pieceSize = 16 << 10
 
 // ErrTooLarge means that an answer is larger than it may be.
 var ErrTooLarge = eris.New("answer too large")
 
-// Limits bound one fetch.
+// ErrSilent means that nothing came for as long as an answer may pause.
+var ErrSilent = eris.New("nothing more came")
+
+// Limits bound one fetch. Its whole time has no bound: how long an answer takes depends
+// on its size and the link, and one that is cut off has to come again from the start.
 type Limits struct {
-	// Whole bounds the time until the last byte.
-	Whole time.Duration
+	// First bounds the time until the answer begins.
+	First time.Duration
+	// Silence bounds the time without another byte of it.
+	Silence time.Duration
 	// Bytes bounds the size of the answer.
 	Bytes int64
 }
@@ -67,44 +74,83 @@
 // Do sends a request and reads its answer. A failure on the way is an *Error, an
 // answer of any status is none.
 func Do(clock shelfshelf.Clock, client *http.Client, request *http.Request, limits Limits) (Answer, error) {
-	ctx, cancel := context.WithTimeout(request.Context(), limits.Whole)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(request.Context())
+	defer cancel(nil)
+	f := &fetch{clock: clock, limits: limits, moved: make(chan struct{}, 1), cancel: cancel}
+	go f.run(ctx)
 	answer := Answer{Progress: Progress{Expected: -1}}
 	began := clock.Now()
-	err := answer.read(clock, client, request.WithContext(ctx), limits.Bytes)
+	err := f.read(client, request.WithContext(ctx), &answer)
 	answer.Took = clock.Now().Sub(began)
-	if err != nil {
-		return answer, &Error{Progress: answer.Progress, Cause: err}
+	if err == nil {
+		return answer, nil
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
 	}
-	return answer, nil
+	return answer, &Error{Progress: answer.Progress, Cause: err}
 }
 
-func (a *Answer) read(clock shelfshelf.Clock, client *http.Client, request *http.Request, most int64) error {
-	began := clock.Now()
+// fetch is one answer on its way.
+type fetch struct {
+	clock  shelfshelf.Clock
+	limits Limits
+	// moved receives when a part of the answer has come.
+	moved  chan struct{}
+	cancel context.CancelCauseFunc
+}
+
+// run ends the fetch when nothing comes for too long.
+func (f *fetch) run(ctx context.Context) {
+	limit := f.limits.First
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.moved:
+			limit = f.limits.Silence
+		case <-f.clock.After(limit):
+			f.cancel(ErrSilent)
+			return
+		}
+	}
+}
+
+func (f *fetch) move() {
+	select {
+	case f.moved <- struct{}{}:
+	default:
+	}
+}
+
+func (f *fetch) read(client *http.Client, request *http.Request, answer *Answer) error {
+	began := f.clock.Now()
 	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	a.Status = response.StatusCode
-	a.First = clock.Now().Sub(began)
-	a.Expected = response.ContentLength
-	if a.Expected > most {
+	f.move()
+	answer.Status = response.StatusCode
+	answer.First = f.clock.Now().Sub(began)
+	answer.Expected = response.ContentLength
+	if answer.Expected > f.limits.Bytes {
 		return ErrTooLarge
 	}
 	var body bytes.Buffer
-	body.Grow(int(max(a.Expected, 0)) + bytes.MinRead)
+	body.Grow(int(max(answer.Expected, 0)) + bytes.MinRead)
 	for {
 		n, err := io.CopyN(&body, response.Body, pieceSize)
-		a.Bytes += n
+		answer.Bytes += n
 		switch {
 		case err == io.EOF:
-			a.Body = body.Bytes()
+			answer.Body = body.Bytes()
 			return nil
 		case err != nil:
 			return err
-		case a.Bytes > most:
+		case answer.Bytes > f.limits.Bytes:
 			return ErrTooLarge
 		}
+		f.move()
 	}
 }
