--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -63,6 +63,8 @@
 	configurationAt time.Time
 	targetsAt       time.Time
 	targetsVersion  uint64
+	// newest is the newest revision that this instance has heard of.
+	newest shelfshelf.Revision
 	// outageEnded is when the source last came back from an outage.
 	outageEnded time.Time
 	sourceLost  bool
@@ -243,26 +245,43 @@
 // apply puts a newer configuration in force and confirms the one in force; nil
 // means that the source has no other than the one in force.
 func (c *Catalog) apply(configuration *shelfshelf.Configuration, at time.Time, from string) {
-	c.mu.Lock()
-	changed := false
-	if configuration != nil && (c.index == nil || configuration.Revision > c.index.Revision) {
-		c.index = NewIndex(configuration)
-		c.configurationAt = at
-		changed = true
-	}
-	current := c.index != nil && (configuration == nil || configuration.Revision == c.index.Revision)
-	if current && at.After(c.configurationAt) {
-		c.configurationAt = at
+	if configuration == nil || !c.newer(configuration.Revision) {
+		c.confirm(configuration, at)
+		return
 	}
-	c.mu.Unlock()
-	if !changed {
+	// Every request waits for the lock, and an index of many routes takes milliseconds.
+	index := NewIndex(configuration)
+	c.mu.Lock()
+	if c.index != nil && c.index.Revision >= index.Revision {
+		// Another one has come meanwhile.
+		c.mu.Unlock()
+		c.confirm(configuration, at)
 		return
 	}
+	c.index = index
+	c.configurationAt = at
+	c.mu.Unlock()
 	c.Log.Info("A configuration is in force.", "revision", configuration.Revision, "from", from,
 		"age", c.Clock.Now().Sub(at), "bytes", len(configuration.Encoded), "routes", len(configuration.Bundle.Routes), "customers", len(configuration.Bundle.Customers))
 	c.notify()
 }
 
+// newer reports that a revision is newer than the one in force.
+func (c *Catalog) newer(revision shelfshelf.Revision) bool {
+	index, _ := c.Index()
+	return index == nil || revision > index.Revision
+}
+
+// confirm notes that a configuration, or whichever is in force for nil, was the newest.
+func (c *Catalog) confirm(configuration *shelfshelf.Configuration, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.index != nil && (configuration == nil || configuration.Revision == c.index.Revision)
+	if current && at.After(c.configurationAt) {
+		c.configurationAt = at
+	}
+}
+
 // Offer takes a configuration from another instance, known to hold up to then.
 func (c *Catalog) Offer(encoded []byte, at time.Time, from string) error {
 	configuration, err := c.Source.DecodeConfiguration(encoded)
@@ -275,11 +294,24 @@
 
 // Confirm takes another instance's word that a revision was the newest then.
 func (c *Catalog) Confirm(revision shelfshelf.Revision, at time.Time) {
+	c.confirm(&shelfshelf.Configuration{Revision: revision}, at)
+}
+
+// HeardOf notes that another instance has a revision in force, and reports whether that is
+// news and the revision newer than the one in force here.
+func (c *Catalog) HeardOf(revision shelfshelf.Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.index != nil && c.index.Revision == revision && at.After(c.configurationAt) {
-		c.configurationAt = at
-	}
+	news := revision > c.newest
+	c.newest = max(c.newest, revision)
+	return news && (c.index == nil || revision > c.index.Revision)
+}
+
+// Superseded reports that a newer configuration than the one in force is known of.
+func (c *Catalog) Superseded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.index != nil && c.newest > c.index.Revision
 }
 
 // SourceLost reports that reads of the source fail.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/catalog"
@@ -369,3 +371,40 @@
 		t.Errorf("what did not change is told:\n%s", last)
 	}
 }
+
+// Looking up by lengths of prefixes finds what a look at every route finds.
+func TestLookUpsFindWhatAScanFinds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		path := rapid.StringMatching(`(/[ab]{0,2}){0,4}/?`)
+		hosts := rapid.SampledFrom([]string{"a.example", "B.example"})
+		var routes []shelfshelf.Route
+		for i, prefix := range rapid.SliceOfN(path, 0, 12).Draw(t, "prefixes") {
+			routes = append(routes, shelfshelf.Route{Name: shelfshelf.RouteName(fmt.Sprint(i)), Host: hosts.Draw(t, "host"), PathPrefix: prefix})
+		}
+		host, asked := hosts.Draw(t, "asked host"), path.Draw(t, "asked")
+		var want *shelfshelf.Route
+		for i := range routes {
+			fits := routes[i].Host == host && strings.HasPrefix(asked, routes[i].PathPrefix)
+			if fits && (want == nil || len(routes[i].PathPrefix) > len(want.PathPrefix)) {
+				want = &routes[i]
+			}
+		}
+		index := catalog.NewIndex(&shelfshelf.Configuration{Revision: 1, Bundle: &shelfshelf.Bundle{Routes: routes}})
+		if got := index.Route(host, asked); got != want {
+			t.Errorf("%s%s: %v, want %v", host, asked, got, want)
+		}
+	})
+}
+
+// BenchmarkRoute looks for one of 4,250 routes of one host: 2,879 ns with a look at every
+// route, 111 ns with one a length of prefix.
+func BenchmarkRoute(b *testing.B) {
+	var routes []shelfshelf.Route
+	for i := range 4250 {
+		routes = append(routes, shelfshelf.Route{Host: "a.example", PathPrefix: fmt.Sprintf("/%x/", i*7919)})
+	}
+	index := catalog.NewIndex(&shelfshelf.Configuration{Revision: 1, Bundle: &shelfshelf.Bundle{Routes: routes}})
+	for b.Loop() {
+		index.Route("a.example", "/nothing/x")
+	}
+}
--- a/catalog/index.go
+++ b/catalog/index.go
@@ -16,11 +16,18 @@
 	// Encoded is the form that instances hand to each other.
 	Encoded []byte
 
-	routes    map[string][]*shelfshelf.Route
+	hosts     map[string]*hostRoutes
 	customers map[[sha256.Size]byte]*shelfshelf.Customer
 	pools     map[shelfshelf.PoolName]*shelfshelf.Pool
 }
 
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	// lengths are those of the prefixes, the longest first.
+	lengths  []int
+	byPrefix map[string]*shelfshelf.Route
+}
+
 // NewIndex prepares a configuration.
 func NewIndex(configuration *shelfshelf.Configuration) *Index {
 	bundle := configuration.Bundle
@@ -28,19 +35,16 @@
 		Revision:  configuration.Revision,
 		Bundle:    bundle,
 		Encoded:   configuration.Encoded,
-		routes:    make(map[string][]*shelfshelf.Route),
+		hosts:     make(map[string]*hostRoutes),
 		customers: make(map[[sha256.Size]byte]*shelfshelf.Customer),
 		pools:     make(map[shelfshelf.PoolName]*shelfshelf.Pool),
 	}
 	for i := range bundle.Routes {
-		route := &bundle.Routes[i]
-		host := strings.ToLower(route.Host)
-		index.routes[host] = append(index.routes[host], route)
+		index.addRoute(&bundle.Routes[i])
 	}
-	for _, routes := range index.routes {
-		slices.SortStableFunc(routes, func(a, b *shelfshelf.Route) int {
-			return len(b.PathPrefix) - len(a.PathPrefix)
-		})
+	for _, routes := range index.hosts {
+		slices.SortFunc(routes.lengths, func(a, b int) int { return b - a })
+		routes.lengths = slices.Compact(routes.lengths)
 	}
 	for i := range bundle.Customers {
 		for _, hash := range bundle.Customers[i].TokenHashes {
@@ -53,14 +57,36 @@
 	return index
 }
 
+// addRoute adds a route; of two with the same prefix the first one counts.
+func (i *Index) addRoute(route *shelfshelf.Route) {
+	host := strings.ToLower(route.Host)
+	routes := i.hosts[host]
+	if routes == nil {
+		routes = &hostRoutes{byPrefix: make(map[string]*shelfshelf.Route)}
+		i.hosts[host] = routes
+	}
+	if _, known := routes.byPrefix[route.PathPrefix]; known {
+		return
+	}
+	routes.byPrefix[route.PathPrefix] = route
+	routes.lengths = append(routes.lengths, len(route.PathPrefix))
+}
+
 // Route returns the route of a host and a path, the longest prefix first; nil if
-// there is none.
+// there is none. It looks once for each length of a prefix, however many routes there are.
 func (i *Index) Route(host, path string) *shelfshelf.Route {
 	if bare, _, err := net.SplitHostPort(host); err == nil {
 		host = bare
 	}
-	for _, route := range i.routes[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.PathPrefix) {
+	routes := i.hosts[strings.ToLower(host)]
+	if routes == nil {
+		return nil
+	}
+	for _, length := range routes.lengths {
+		if length > len(path) {
+			continue
+		}
+		if route := routes.byPrefix[path[:length]]; route != nil {
 			return route
 		}
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -39,6 +39,8 @@
 	// Index returns the configuration in force, or nil, and up to when it is known
 	// to hold.
 	Index() (*catalog.Index, time.Time)
+	// Superseded reports that a newer configuration than the one in force is known of.
+	Superseded() bool
 }
 
 // Server carries requests. Fields are set before it is used.
@@ -115,7 +117,7 @@
 	c.configurationAge = c.arrived.Sub(at)
 	c.route = index.Route(c.http.Host, c.http.URL.Path)
 	if c.route == nil {
-		return final(http.StatusNotFound, "no route")
+		return c.unknown(http.StatusNotFound, "no route")
 	}
 	call, err := s.Codec.Call(c.http.Header)
 	c.call = call
@@ -135,14 +137,32 @@
 // identify finds the holder of the key.
 func (c *request) identify() *refusal {
 	if c.route.Public {
-		return nil
+		return c.checkPublic()
 	}
 	if !c.keysKnown() {
 		return notRun(http.StatusServiceUnavailable, "keys can't be checked: the configuration is too old", leaseRetryAfter)
 	}
 	c.customer = c.index.Customer(c.call.Key)
 	if c.customer == nil {
-		return final(http.StatusUnauthorized, "unknown key")
+		return c.unknown(http.StatusUnauthorized, "unknown key")
+	}
+	return nil
+}
+
+// unknown refuses what the configuration in force doesn't have. That is final unless a
+// newer one is known of, which may have it: callers take no for an answer.
+func (c *request) unknown(status int, text string) *refusal {
+	if c.server.Catalog.Superseded() {
+		return notRun(http.StatusServiceUnavailable, text+" yet: a newer configuration is known of", startingRetryAfter)
+	}
+	return final(status, text)
+}
+
+// checkPublic refuses calls without a key where a newer configuration is known of that
+// could not be had for as long as keys may be trusted: the route may go elsewhere by now.
+func (c *request) checkPublic() *refusal {
+	if c.server.Catalog.Superseded() && !c.keysKnown() {
+		return notRun(http.StatusServiceUnavailable, "a newer configuration is known of, and the one in force is too old", leaseRetryAfter)
 	}
 	return nil
 }
--- /dev/null
+++ b/gateway/server_test.go
@@ -0,0 +1,85 @@
+package gateway_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/catalog"
+	"github.com/shelfshelf/shelfshelf/gateway"
+	"github.com/shelfshelf/shelfshelf/platform"
+	"github.com/shelfshelf/shelfshelf/quota"
+)
+
+// oneRevision is a source of one configuration.
+type oneRevision struct {
+	shelfshelf.CatalogSource
+	configuration *shelfshelf.Configuration
+}
+
+func (s oneRevision) DecodeConfiguration([]byte) (*shelfshelf.Configuration, error) {
+	return s.configuration, nil
+}
+
+// An instance that knows of a newer configuration than its own neither says for good that
+// a route or a key is unknown, nor goes on for ever with public routes that may have moved:
+// 292 callers of routes just added got 404 from instances that had not fetched them yet.
+func TestSupersededConfigurationsDenyNothingForGood(t *testing.T) {
+	t.Parallel()
+	const lease = 4 * time.Second
+	hash := sha256.Sum256([]byte("known"))
+	configuration := &shelfshelf.Configuration{Revision: 5, Bundle: &shelfshelf.Bundle{
+		Routes: []shelfshelf.Route{
+			{Name: "closed", Host: "h.example", PathPrefix: "/closed/"},
+			{Name: "open", Host: "h.example", PathPrefix: "/open/", Public: true},
+		},
+		Customers: []shelfshelf.Customer{{Name: "c", TokenHashes: [][]byte{hash[:]}}},
+	}}
+	for name, c := range map[string]struct {
+		path, key string
+		heardOf   shelfshelf.Revision
+		age       time.Duration
+		want      int
+	}{
+		"unknown route":                {"/none/", "known", 5, 0, http.StatusNotFound},
+		"unknown route, superseded":    {"/none/", "known", 6, 0, http.StatusServiceUnavailable},
+		"unknown key":                  {"/closed/", "other", 5, 0, http.StatusUnauthorized},
+		"unknown key, superseded":      {"/closed/", "other", 6, 0, http.StatusServiceUnavailable},
+		"public, old, superseded":      {"/open/", "", 6, lease, http.StatusServiceUnavailable},
+		"unknown route, only old":      {"/none/", "known", 5, lease, http.StatusNotFound},
+		"unknown route, heard of less": {"/none/", "known", 4, 0, http.StatusNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := clockwork.NewFakeClock()
+			known := &catalog.Catalog{Clock: clock, Log: log.New(io.Discard), Source: oneRevision{configuration: configuration}}
+			if err := known.Offer(nil, clock.Now().Add(-c.age), "a test"); err != nil {
+				t.Fatal(err)
+			}
+			known.HeardOf(c.heardOf)
+			ledger := &quota.Ledger{Clock: clock, Window: time.Second}
+			ledger.Start()
+			s := &gateway.Server{
+				Clock: clock, Log: log.New(io.Discard), Codec: platform.Headers{}, Catalog: known, Quota: ledger,
+				Metrics: gateway.NewMetrics(), Fit: func() bool { return true },
+			}
+			s.SetKeyLease(lease)
+			recorder := httptest.NewRecorder()
+			request := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "http://h.example"+c.path, nil)
+			request.Header.Set("X-Shelfshelf-Request-Id", "r1")
+			request.Header.Set("Authorization", "Bearer "+c.key)
+			s.ServeHTTP(recorder, request)
+			if recorder.Code != c.want || (recorder.Header().Get("Retry-After") != "") != (c.want == http.StatusServiceUnavailable) {
+				t.Errorf("%d, Retry-After %q", recorder.Code, recorder.Header().Get("Retry-After"))
+			}
+		})
+	}
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -229,7 +229,7 @@
 	now := n.Clock.Now()
 	n.mu.Lock()
 	n.identify(&status)
-	status.Digests = n.takeUntold(now)
+	status.Digests = n.takeUntold(now, maxDatagram-statusSize(status))
 	n.dropSilent(now)
 	var due []*peerState
 	locals := 0
@@ -356,6 +356,11 @@
 		n.Log.Error("A message can't be encoded.", "error", err)
 		return
 	}
+	if len(content) > maxDatagram {
+		n.Log.Error("A message is too large to be sent.", "to", to, "bytes", len(content),
+			"loads", len(m.status.Loads), "uses", len(m.status.Uses), "digests", len(m.status.Digests))
+		return
+	}
 	n.SendOther(to, content)
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -234,3 +235,51 @@
 		}
 	}
 }
+
+// With 600 targets, 520 customers and six data centres, the digests of all others make up
+// 100 KB: a status carries those that have room and keeps the others for the next one.
+func TestMessagesHaveRoomInDatagrams(t *testing.T) {
+	const targets, customers, centres = 600, 520, 5
+	n := &Node{Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), centres: make(map[shelfshelf.DataCentre]*centreState)}
+	var digest shelfshelf.Digest
+	for i := range targets {
+		key := shelfshelf.TargetKey(math.MaxUint32 - i)
+		digest.Loads = append(digest.Loads, shelfshelf.TargetLoad{Target: key, Requests: 1000, Prefilling: 300, PrefillTokens: 1 << 20})
+		digest.Speeds = append(digest.Speeds, shelfshelf.TargetSpeed{Target: key, PrefillRate: 10000, Step: 90 * time.Millisecond})
+	}
+	for i := range customers {
+		digest.Uses = append(digest.Uses, shelfshelf.CustomerUse{Customer: shelfshelf.CustomerKey(math.MaxUint32 - i), Amount: 1 << 40})
+	}
+	now := time.Now()
+	for i := range centres {
+		n.takeDigestOf(shelfshelf.DataCentre(fmt.Sprint("data centre ", i)), digest, now)
+	}
+	status := shelfshelf.Status{Loads: digest.Loads, Uses: digest.Uses}
+	told := make(map[shelfshelf.DataCentre]int)
+	for range centres {
+		status.Digests = n.takeUntold(now, maxDatagram-statusSize(status))
+		for _, d := range status.Digests {
+			told[d.DataCentre]++
+		}
+		content, err := encode(message{kind: kindStatus, status: status})
+		if err != nil || len(content) > maxDatagram {
+			t.Errorf("a status has %d bytes: %v", len(content), err)
+		}
+		if got, bound := len(content), statusSize(status)+len(status.Digests)*digestSize(digest); got > bound {
+			t.Errorf("%d bytes are more than the bound of %d", got, bound)
+		}
+	}
+	if len(told) != centres {
+		t.Errorf("told: %v", told)
+	}
+	for centre, times := range told {
+		if times != 1 {
+			t.Errorf("%s told %d times", centre, times)
+		}
+	}
+}
+
+func (n *Node) takeDigestOf(centre shelfshelf.DataCentre, digest shelfshelf.Digest, now time.Time) {
+	digest.DataCentre = centre
+	n.takeDigest(digest, now, true)
+}
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -103,16 +103,21 @@
 	return true
 }
 
-// takeUntold returns the digests that are to be passed on; the lock is held.
-func (n *Node) takeUntold(now time.Time) []shelfshelf.Digest {
+// takeUntold returns the digests that are to be passed on and have room in so many bytes,
+// at least one; the others wait for the next status. The lock is held. At 600 targets and
+// 520 customers a digest has some 20 KB, and a datagram larger than maxDatagram is not sent.
+func (n *Node) takeUntold(now time.Time, room int) []shelfshelf.Digest {
 	var digests []shelfshelf.Digest
 	for _, c := range n.centres {
-		if c.untold {
-			c.untold = false
-			digest := c.digest
-			digest.Age = now.Sub(c.at)
-			digests = append(digests, digest)
+		size := digestSize(c.digest)
+		if !c.untold || len(digests) > 0 && size > room {
+			continue
 		}
+		c.untold = false
+		room -= size
+		digest := c.digest
+		digest.Age = now.Sub(c.at)
+		digests = append(digests, digest)
 	}
 	return digests
 }
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -12,6 +12,14 @@
 // wireVersion changes with the form of messages.
 const wireVersion = 3
 
+// The most bytes that one entry takes in CBOR, and all else of a message or a digest.
+const (
+	loadSize   = 17
+	useSize    = 15
+	speedSize  = 16
+	framesSize = 400
+)
+
 // kind tells what a message is for.
 type kind uint8
 
@@ -91,6 +99,16 @@
 	}
 )
 
+// statusSize bounds the size of a status without its digests, in bytes.
+func statusSize(s shelfshelf.Status) int {
+	return framesSize + loadSize*len(s.Loads) + useSize*(len(s.Uses)+len(s.EndedUses)) + speedSize*len(s.Speeds)
+}
+
+// digestSize bounds the size of a digest, in bytes.
+func digestSize(d shelfshelf.Digest) int {
+	return framesSize + loadSize*len(d.Loads) + useSize*len(d.Uses) + speedSize*len(d.Speeds)
+}
+
 func encode(m message) ([]byte, error) {
 	s := m.status
 	wire := wireMessage{
--- a/relay/incident_test.go
+++ b/relay/incident_test.go
@@ -71,6 +71,8 @@
 			closer()
 		}
 		d.ended.Wait()
+		// What is still on its way gets to its end.
+		time.Sleep(time.Minute)
 	})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -45,9 +44,7 @@
 	// Dial opens connections to the others; nil means the operating system's.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	client http.Client
-	// newest is the newest revision heard of that was not in force here then.
-	newest         atomic.Uint64
+	client         http.Client
 	configurations chan offer
 	targets        chan offer
 
@@ -106,11 +103,13 @@
 // Heard takes what another instance says of its knowledge; at is an instant that
 // this is surely no older than, zero if there is none.
 func (r *Relay) Heard(status shelfshelf.Status, at time.Time) {
+	if r.Catalog.HeardOf(status.Revision) {
+		r.Log.Info("A newer configuration is known of.", "revision", status.Revision, "from", status.From.ID)
+	}
 	index, _ := r.Catalog.Index()
 	switch {
 	case status.Revision == 0:
 	case index == nil || status.Revision > index.Revision:
-		r.noteNewer(status, index)
 		leave(r.configurations, offer{status.From.Address, func() bool { return r.behind(status.Revision) }})
 	case status.Revision == index.Revision && !at.IsZero():
 		r.Catalog.Confirm(status.Revision, at.Add(-status.RevisionAge))
@@ -133,19 +132,6 @@
 	return index == nil || revision > index.Revision
 }
 
-// noteNewer tells of a revision that is newer than the one in force, once.
-func (r *Relay) noteNewer(status shelfshelf.Status, index *catalog.Index) {
-	newest := r.newest.Load()
-	if uint64(status.Revision) <= newest || !r.newest.CompareAndSwap(newest, uint64(status.Revision)) {
-		return
-	}
-	var inForce shelfshelf.Revision
-	if index != nil {
-		inForce = index.Revision
-	}
-	r.Log.Info("A newer configuration is known of.", "revision", status.Revision, "from", status.From.ID, "inForce", inForce)
-}
-
 // leave leaves an offer, unless one waits already.
 func leave(offers chan offer, o offer) {
 	select {
