--- a/bundle/roll_test.go
+++ b/bundle/roll_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,6 +118,52 @@
 	})
 }
 
+// narrowObjects is a store whose objects come over a narrow link.
+type narrowObjects struct {
+	*fake.Store
+	takes time.Duration
+	reads atomic.Int64
+}
+
+func (s *narrowObjects) GetObject(ctx context.Context, digest string) ([]byte, error) {
+	s.reads.Add(1)
+	select {
+	case <-ctx.Done():
+		return nil, shelfshelf.ErrUnavailable
+	case <-time.After(s.takes):
+		return s.Store.GetObject(ctx, digest)
+	}
+}
+
+// A bundle that takes longer than a call may take comes into force all the same, by one
+// read that goes on: read anew each time it would never come whole, and fill the link.
+func TestLargeBundlesComeOverNarrowLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const takes = 6 * time.Second
+		alex := newPerson(t, "alex")
+		platform := fake.NewStore(clockwork.NewRealClock())
+		store := storeTrusting(platform, alex)
+		objects := &narrowObjects{Store: platform, takes: takes}
+		ctx, cancel := context.WithCancel(t.Context())
+		if _, err := store.Roll(ctx, signedBy(t, "first", alex, alex), "op"); err != nil {
+			t.Fatal(err)
+		}
+		store.Objects = objects
+		watcher := &bundle.Watcher{Clock: store.Clock, Log: log.New(io.Discard), Store: store, Apply: func(*bundle.Accepted) {}}
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = watcher.Run(ctx) }()
+		time.Sleep(takes + 2*bundle.ReadPeriod)
+		if got := watcher.Head().Revision; got != 1 {
+			t.Errorf("revision %d is in force", got)
+		}
+		if got := objects.reads.Load(); got != 1 {
+			t.Errorf("the bundle was read %d times", got)
+		}
+		cancel()
+		<-ended
+	})
+}
+
 func TestRollsUnderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		alex := newPerson(t, "alex")
--- a/bundle/watcher.go
+++ b/bundle/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -31,8 +32,15 @@
 	StaleAfter = 4 * time.Second
 	// storeFirst is how long a bundle is sought in the store before a peer is asked.
 	storeFirst = 500 * time.Millisecond
+	// objectTimeout bounds a read of a bundle, which goes on after whoever began it has
+	// gone on: a link of 1 Mbit/s carries 1.1 MB in 9 s. The store's client ends it sooner
+	// where the store is silent.
+	objectTimeout = 10 * time.Second
 )
 
+// errNotYet means that a bundle is still on its way.
+var errNotYet = errors.New("the bundle is still on its way")
+
 // Guards switches protections off, to show that tests notice; the zero value has
 // them all on. Only tests set it.
 type Guards struct {
@@ -69,6 +77,24 @@
 	wake     chan struct{}
 	reads    uint64
 	refused  string
+	// reading is a read of a bundle that goes on, nil for none; only Run uses it.
+	reading *objectRead
+}
+
+// objectRead is a read of a bundle from the store. Cut off after readTimeout, one that a
+// narrow link carries in more would start from the beginning each time, and never end.
+type objectRead struct {
+	digest  string
+	cancel  context.CancelFunc
+	done    chan struct{}
+	content []byte
+	err     error
+}
+
+func (o *objectRead) run(ctx context.Context, objects shelfshelf.ObjectStore) {
+	defer close(o.done)
+	defer o.cancel()
+	o.content, o.err = objects.GetObject(ctx, o.digest)
 }
 
 // wanted is the highest head heard of and who told it.
@@ -179,9 +205,7 @@
 		return false
 	}
 	if ok && w.newer(entry.Head) {
-		objectCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		encoded, err := w.Store.Objects.GetObject(objectCtx, entry.Head.Digest)
-		cancel()
+		encoded, err := w.readObject(ctx, entry.Head.Digest, readTimeout)
 		if err != nil {
 			w.Log.Warn("The bundle can't be read.", "revision", entry.Head.Revision, "error", err)
 			return false
@@ -196,6 +220,30 @@
 	return true
 }
 
+// readObject begins to read a bundle from the store, or joins the read that goes on, and
+// waits for it for so long; the error is errNotYet if it goes on.
+func (w *Watcher) readObject(ctx context.Context, digest string, wait time.Duration) ([]byte, error) {
+	if w.reading != nil && w.reading.digest != digest {
+		w.reading.cancel()
+		w.reading = nil
+	}
+	if w.reading == nil {
+		read, cancel := context.WithTimeout(ctx, objectTimeout)
+		w.reading = &objectRead{digest: digest, cancel: cancel, done: make(chan struct{})}
+		go w.reading.run(read, w.Store.Objects)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-w.Clock.After(wait):
+		return nil, errNotYet
+	case <-w.reading.done:
+	}
+	read := w.reading
+	w.reading = nil
+	return read.content, read.err
+}
+
 func (w *Watcher) newer(head shelfshelf.Head) bool {
 	current := w.Head()
 	return head.Revision > current.Revision || (w.Guards.ApplyLower && head != current)
@@ -210,9 +258,7 @@
 	if !w.newer(want.head) || want.head.Revision == 0 {
 		return
 	}
-	fromStore, cancel := context.WithTimeout(ctx, storeFirst)
-	encoded, err := w.Store.Objects.GetObject(fromStore, want.head.Digest)
-	cancel()
+	encoded, err := w.readObject(ctx, want.head.Digest, storeFirst)
 	if err != nil {
 		fromPeer, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
