--- a/places/incident_test.go
+++ b/places/incident_test.go
@@ -26,8 +26,8 @@
 	crowdSlots = 10
 )
 
-// rush is requests of one tier that ask unlike engines for places, in simulated time.
-type rush struct {
+// overload is more requests of one tier than engines can serve, in simulated time.
+type overload struct {
 	clock  *clockwork.FakeClock
 	began  time.Time
 	random *rand.Rand
@@ -36,21 +36,21 @@
 	slowness []float64
 	events   timeline
 	planned  int
-	visits   map[shelfshelf.PlaceID]*visit
+	requests map[shelfshelf.PlaceID]*request
 	last     shelfshelf.PlaceID
 }
 
-// visit is one request.
-type visit struct {
+// request is one that asks engines for a place.
+type request struct {
 	stay   time.Duration
 	asked  map[shelfshelf.PlaceID]int
 	served bool
 }
 
-func newRush(seed uint64) *rush {
-	r := &rush{
+func newOverload(seed uint64) *overload {
+	r := &overload{
 		clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 1)),
-		slowness: []float64{1, 1, 1, 1, 4, 4}, visits: make(map[shelfshelf.PlaceID]*visit),
+		slowness: []float64{1, 1, 1, 1, 4, 4}, requests: make(map[shelfshelf.PlaceID]*request),
 	}
 	r.began = r.clock.Now()
 	r.book = &places.Book{
@@ -65,7 +65,7 @@
 
 // play lets so many times what the engines can serve come for a minute, and returns all
 // requests.
-func (r *rush) play(load float64) []*visit {
+func (r *overload) play(load float64) []*request {
 	capacity := 0.0
 	for _, slowness := range r.slowness {
 		capacity += crowdSlots / slowness
@@ -74,10 +74,10 @@
 	// much apart as those of the day's log.
 	meanStay := 0.004 * 200 * math.Exp(1.3*1.3/2)
 	pause := time.Duration(float64(time.Second) * meanStay / capacity / load)
-	var all []*visit
+	var all []*request
 	for at := time.Duration(0); at < time.Minute; at += time.Duration(r.random.ExpFloat64() * float64(pause)) {
 		tokens := 200 * math.Exp(1.3*r.random.NormFloat64())
-		v := &visit{stay: time.Duration(tokens * 4 * float64(time.Millisecond)), asked: make(map[shelfshelf.PlaceID]int)}
+		v := &request{stay: time.Duration(tokens * 4 * float64(time.Millisecond)), asked: make(map[shelfshelf.PlaceID]int)}
 		all = append(all, v)
 		r.at(at, func() { r.arrive(v) })
 	}
@@ -90,7 +90,7 @@
 }
 
 // arrive asks the engines that look best: a long answer rather waits for a fast one.
-func (r *rush) arrive(v *visit) {
+func (r *overload) arrive(v *request) {
 	costs := make([]float64, len(r.slowness))
 	order := make([]int, len(r.slowness))
 	for i := range order {
@@ -101,7 +101,7 @@
 	for _, target := range order[:linesAtMost] {
 		r.last++
 		v.asked[r.last] = target
-		r.visits[r.last] = v
+		r.requests[r.last] = v
 		ask := shelfshelf.PlaceAsk{
 			Target: shelfshelf.TargetKey(target), Tier: 1, Wait: lineTime,
 			Stay: time.Duration(float64(v.stay) * r.slowness[target]),
@@ -115,8 +115,8 @@
 }
 
 // granted runs a request at the engine that gave it a place, unless it has one.
-func (r *rush) granted(id shelfshelf.PlaceID) {
-	v := r.visits[id]
+func (r *overload) granted(id shelfshelf.PlaceID) {
+	v := r.requests[id]
 	if v.served {
 		r.after(0, func() { r.book.Release(holder(1), id) })
 		return
@@ -129,19 +129,19 @@
 }
 
 // leave takes a request out of the lines that it still stands in.
-func (r *rush) leave(v *visit) {
+func (r *overload) leave(v *request) {
 	for _, id := range slices.Sorted(maps.Keys(v.asked)) {
 		r.book.Leave(holder(1), id, v.served)
 		delete(v.asked, id)
 	}
 }
 
-func (r *rush) at(at time.Duration, do func()) {
+func (r *overload) at(at time.Duration, do func()) {
 	r.planned++
 	heap.Push(&r.events, event{at: at, order: r.planned, do: do})
 }
 
-func (r *rush) after(pause time.Duration, do func()) {
+func (r *overload) after(pause time.Duration, do func()) {
 	r.at(r.clock.Since(r.began)+pause, do)
 }
 
@@ -168,14 +168,14 @@
 	return last
 }
 
-func servedShare(visits []*visit) float64 {
+func servedShare(requests []*request) float64 {
 	served := 0
-	for _, v := range visits {
+	for _, v := range requests {
 		if v.served {
 			served++
 		}
 	}
-	return float64(served) / float64(len(visits))
+	return float64(served) / float64(len(requests))
 }
 
 // On a day of high load, of the largest tenth of one kind of request 0.23 were served
@@ -196,8 +196,8 @@
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint("load ", load, " seed ", seed), func(t *testing.T) {
 				t.Parallel()
-				all := newRush(seed).play(load)
-				slices.SortFunc(all, func(a, b *visit) int { return cmp.Compare(a.stay, b.stay) })
+				all := newOverload(seed).play(load)
+				slices.SortFunc(all, func(a, b *request) int { return cmp.Compare(a.stay, b.stay) })
 				longest, every := servedShare(all[len(all)*9/10:]), servedShare(all)
 				t.Logf("%d requests, %.2f of all served, %.2f of the longest tenth", len(all), every, longest)
 				if longest < every/2 {
