Tests of 30, 100 and 300 whole instances in one process, failing

Cause: what all instances do at the same moment could not be seen in a test.

Change: an instance takes its sockets from outside (shelfshelf.Sockets; the operating system's unless set), the stand-in of a network has machines with datagrams, and the stand-in of the store counts calls by kind.

Both tests fail at 100 and 300.

--- a/fake/network.go
+++ b/fake/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,8 @@
 	listeners map[string]*networkListener
 	links     map[string]*link
 	received  map[string]int64
+	sockets   map[netip.AddrPort]*packetSocket
+	datagrams int
 	conns     map[*networkConn]bool
 }
 
@@ -30,6 +33,7 @@
 	return &Network{
 		Clock: clock, listeners: make(map[string]*networkListener),
 		links: make(map[string]*link), received: make(map[string]int64), conns: make(map[*networkConn]bool),
+		sockets: make(map[netip.AddrPort]*packetSocket),
 	}
 }
 
@@ -113,16 +117,23 @@
 func (n *Network) carry(from, to string, size int) {
 	n.mu.Lock()
 	n.received[to] += int64(size)
+	until := n.reserve(from, to, size)
+	n.mu.Unlock()
+	if wait := until.Sub(n.Clock.Now()); wait > 0 {
+		<-n.Clock.After(wait)
+	}
+}
+
+// reserve returns when so many bytes have gone over the links of both machines; the lock
+// is held.
+func (n *Network) reserve(from, to string, size int) time.Time {
 	until := n.Clock.Now()
 	for _, machine := range []string{from, to} {
 		if l := n.links[machine]; l != nil {
 			until = maxTime(until, l.reserve(size))
 		}
 	}
-	n.mu.Unlock()
-	if wait := until.Sub(n.Clock.Now()); wait > 0 {
-		<-n.Clock.After(wait)
-	}
+	return until
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -42,11 +43,13 @@
 	faults  PlatformFaults
 	blobs   map[string][]byte
 	calls   int
+	// kinds counts the calls by path and table.
+	kinds map[string]int
 }
 
 // NewPlatform returns an empty store.
 func NewPlatform(clock shelfshelf.Clock) *Platform {
-	return &Platform{Clock: clock, started: clock.Now(), Rows: NewRows(), blobs: make(map[string][]byte)}
+	return &Platform{Clock: clock, started: clock.Now(), Rows: NewRows(), blobs: make(map[string][]byte), kinds: make(map[string]int)}
 }
 
 // SetFaults replaces the faults.
@@ -63,6 +66,14 @@
 	return p.calls
 }
 
+// CallsByKind returns how many calls have come, by path and table; a write's table is
+// empty.
+func (p *Platform) CallsByKind() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.kinds)
+}
+
 // Put writes a row as an operator or a target would.
 func (p *Platform) Put(table, key string, value []byte) {
 	p.Rows.Transact(nil, []RowWrite{{RowID: RowID{Table: table, Key: key}, Value: value}})
@@ -84,6 +95,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
 		p.calls++
+		p.kinds[r.URL.Path+" "+r.URL.Query().Get("Table")]++
 		faults := p.faults
 		p.mu.Unlock()
 		switch {
--- a/node/build.go
+++ b/node/build.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,7 +42,7 @@
 		Clock: n.Clock, Log: n.Log.WithPrefix("quota"), Ledger: n.quota, Store: n.Platform.Uses, Due: n.leads,
 	}
 	n.metrics = gateway.NewMetrics()
-	n.relay = &relay.Relay{Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Fetched: n.metrics.Fetched}
+	n.relay = &relay.Relay{Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Fetched: n.metrics.Fetched, Dial: n.Sockets.Dial}
 	n.relay.Init()
 	if err := n.buildGossip(); err != nil {
 		return err
@@ -58,7 +57,7 @@
 
 // buildGossip makes the part that tells the other instances and hears them.
 func (n *Node) buildGossip() error {
-	datagrams, err := net.ListenPacket("udp", n.Settings.Peer)
+	datagrams, err := n.Sockets.ListenPacket(n.Settings.Peer)
 	if err != nil {
 		return eris.Wrap(err, "listen for statuses")
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -75,6 +75,8 @@
 	Log      *log.Logger
 	Settings *settings.Node
 	Platform Platform
+	// Sockets is the machine's network; nil means the operating system's.
+	Sockets shelfshelf.Sockets
 
 	catalog  *catalog.Catalog
 	balancer *balance.Balancer
--- /dev/null
+++ b/node/size_test.go
@@ -0,0 +1,247 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/fake"
+	"github.com/shelfshelf/shelfshelf/node"
+	"github.com/shelfshelf/shelfshelf/platform"
+	"github.com/shelfshelf/shelfshelf/retrybudget"
+	"github.com/shelfshelf/shelfshelf/settings"
+)
+
+const (
+	// storeAddress is where the store's stand-in answers.
+	storeAddress = "10.200.0.1:80"
+	// storeDelay is how long it takes for an answer.
+	storeDelay = 4 * time.Millisecond
+	// centres is how many data centres there are.
+	centres = 6
+	// narrowLink and wideLink are 20 and 200 Mbit/s, of every sixteenth instance.
+	narrowLink = 20
+	wideLink   = 200
+	wideEvery  = 16
+)
+
+// large is many whole instances in one process, on links of their own before a stand-in
+// of the store, in simulated time. Processors are taken to cost nothing.
+type large struct {
+	t        *testing.T
+	ctx      context.Context
+	clock    shelfshelf.Clock
+	network  *fake.Network
+	platform *fake.Platform
+	log      *fake.Log
+	began    time.Time
+	ended    sync.WaitGroup
+	closers  []func()
+	ready    []string
+}
+
+// playLarge starts so many instances at once, all of them listed in the directory as after
+// a restart unless it is the first start, and ends them after the test.
+func playLarge(t *testing.T, count int, first bool, test func(l *large)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		clock := clockwork.NewRealClock()
+		l := &large{
+			t: t, ctx: ctx, clock: clock, network: fake.NewNetwork(clock), platform: fake.NewPlatform(clock),
+			log: &fake.Log{},
+		}
+		l.platform.SetFaults(fake.PlatformFaults{Delay: storeDelay})
+		l.publish()
+		server := &http.Server{Handler: l.platform.Handler()}
+		l.closers = append(l.closers, func() { _ = server.Close() })
+		listener := l.network.Listen("10.200.0.1", "80")
+		l.ended.Go(func() { _ = server.Serve(listener) })
+		if !first {
+			for i := range count {
+				l.announced(i)
+			}
+		}
+		l.began = clock.Now()
+		for i := range count {
+			l.start(i, first)
+		}
+		defer func() {
+			cancel()
+			for _, closer := range l.closers {
+				closer()
+			}
+			l.ended.Wait()
+			time.Sleep(time.Minute)
+		}()
+		test(l)
+	})
+}
+
+// publish puts a configuration and targets into the store, as large as the users' own.
+func (l *large) publish() {
+	var routes, customers []object
+	for i := range 60 {
+		routes = append(routes, object{
+			"Name": fmt.Sprint("r", i), "Host": "h.example", "PathPrefix": fmt.Sprintf("/%d/", i), "Kind": "streaming",
+			"TimeoutMs": 10000, "GoalMs": 800, "Service": "engines", "MaxAttempts": 2,
+		})
+	}
+	for i := range 40 {
+		customers = append(customers, object{"Name": fmt.Sprint("c", i), "ApiKeys": []string{fmt.Sprint("k", i)}, "RatePerS": 100, "Burst": 10})
+	}
+	l.put("op", "config", object{
+		"Version": 1, "Routes": routes, "Tenants": customers,
+		"Services": []object{{"Name": "engines", "Engine": object{"Slots": 8, "Stride": 5}}},
+	})
+	for i := range 160 {
+		l.put("servers", fmt.Sprint("s", i), object{
+			"Service": "engines", "Address": fmt.Sprintf("10.100.%d.%d:80", i%centres, i), "Zone": centreOf(i), "Slots": 8, "State": "ready",
+		})
+	}
+}
+
+func (l *large) put(table, key string, value object) {
+	content, err := json.Marshal(value)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.platform.Put(table, key, content)
+}
+
+func centreOf(i int) string { return fmt.Sprint("dc", i%centres) }
+
+func machineOf(i int) string { return fmt.Sprintf("10.%d.%d.1", i%centres, i/centres) }
+
+func linkOf(i int) int {
+	if (i/centres)%wideEvery == 0 {
+		return wideLink
+	}
+	return narrowLink
+}
+
+// announced lists an instance in the directory.
+func (l *large) announced(i int) {
+	l.put("instances", fmt.Sprint("n", i), object{"dataCentre": centreOf(i), "address": machineOf(i) + ":7600", "linkMbps": linkOf(i)})
+}
+
+func (l *large) start(i int, first bool) {
+	machine := l.network.Machine(machineOf(i))
+	l.network.SetRate(machineOf(i), linkOf(i)*1_000_000/8)
+	store := platform.NewStore(storeAddress)
+	store.Dial = machine.Dial
+	instance := &node.Node{
+		Clock: l.clock,
+		Log:   log.NewWithOptions(l.log, log.Options{Formatter: log.JSONFormatter, Level: log.InfoLevel}).With("at", fmt.Sprint("n", i)),
+		Settings: &settings.Node{
+			Instance: shelfshelf.InstanceID(fmt.Sprint("n", i)), DataCentre: shelfshelf.DataCentre(centreOf(i)),
+			Callers: machineOf(i) + ":80", Ready: machineOf(i) + ":81", Peer: machineOf(i) + ":7600", Store: storeAddress,
+			Descriptors: 4096, LinkMbps: float64(linkOf(i)), KeyLease: keyLease, StopLimit: 8 * time.Second,
+			Retry: retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		},
+		Platform: node.Platform{
+			Catalog: store, Directory: store, Codec: platform.Headers{}, Uses: store, ReadyPath: platform.ReadyPath,
+		},
+		Sockets: machine,
+	}
+	l.ready = append(l.ready, machineOf(i)+":81")
+	l.ended.Go(func() {
+		if err := instance.Run(l.ctx); err != nil && l.ctx.Err() == nil {
+			l.t.Error(err)
+		}
+	})
+}
+
+// untilReady waits until all instances take connections, and returns how long after their
+// start that was.
+func (l *large) untilReady(within time.Duration) time.Duration {
+	client := &http.Client{Transport: &http.Transport{DialContext: l.network.Machine("10.250.0.1").Dial}}
+	defer client.CloseIdleConnections()
+	waiting := l.ready
+	for end := l.began.Add(within); l.clock.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		var still []string
+		for _, address := range waiting {
+			answer, err := client.Get("http://" + address + platform.ReadyPath)
+			if err != nil {
+				still = append(still, address)
+				continue
+			}
+			_ = answer.Body.Close()
+			if answer.StatusCode != http.StatusOK {
+				still = append(still, address)
+			}
+		}
+		if waiting = still; len(waiting) == 0 {
+			return l.clock.Now().Sub(l.began)
+		}
+	}
+	l.t.Errorf("%d instances are not ready after %v: %v", len(waiting), within, waiting[:min(len(waiting), 5)])
+	return within
+}
+
+// calls returns the calls of the store by kind, and those that are neither the directory's
+// nor a write.
+func (l *large) calls() (all int, shared int, kinds map[string]int) {
+	kinds = l.platform.CallsByKind()
+	for kind, count := range kinds {
+		all += count
+		if !strings.HasPrefix(kind, "/-/rows-tx") && kind != "/-/rows-get instances" {
+			shared += count
+		}
+	}
+	return all, shared, kinds
+}
+
+// All instances start at the same moment, as after a loss of all. Each read configuration,
+// targets and the use of limits from the store, and announced itself though it was listed:
+// five calls an instance and more, 1,500 at 295 instances, the largest price of every day
+// there. What one has read the others can have from it.
+func TestRestartsOfAllCostOneCallAnInstance(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{30, 100, 300} {
+		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
+			t.Parallel()
+			playLarge(t, count, false, func(l *large) {
+				took := l.untilReady(3 * time.Second)
+				time.Sleep(time.Until(l.began.Add(2 * time.Second)))
+				all, shared, kinds := l.calls()
+				t.Logf("ready after %v; %d calls, %d shared: %v", took, all, shared, kinds)
+				if most := count + centres*30; all > most {
+					t.Errorf("%d calls, %.1f an instance, more than %d: %v", all, float64(all)/float64(count), most, kinds)
+				}
+				if took > 500*time.Millisecond {
+					t.Errorf("ready after %v", took)
+				}
+			})
+		})
+	}
+}
+
+// The platform writes 200 rows of a table a second and turned a third of 295 instances
+// away that announced themselves at once; each also read all that it could have heard.
+func TestFirstStartsAreSpread(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{30, 100, 300} {
+		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
+			t.Parallel()
+			playLarge(t, count, true, func(l *large) {
+				took := l.untilReady(6 * time.Second)
+				time.Sleep(time.Until(l.began.Add(4 * time.Second)))
+				all, shared, kinds := l.calls()
+				t.Logf("ready after %v; %d calls, %d shared: %v", took, all, shared, kinds)
+				if most := 2*count + centres*30; all > most {
+					t.Errorf("%d calls, %.1f an instance, more than %d: %v", all, float64(all)/float64(count), most, kinds)
+				}
+			})
+		})
+	}
+}
