One instance of a data centre reads the store at a start, the others ask it

Cause: at each start every instance announced itself though it was listed, and read the directory, the configuration, the targets and the use of limits from the store: five calls, and one or two of a follower before it had heard anybody. 295 announcements at once are 1.5 s of writes of one table, where the platform turns away who waits for over a second.

Ruled out: reads of followers in steady state (two data centres' readers only; a feed each second).

Change: who is listed as it is doesn't announce itself; where all start for the first time (setting firstStart, from the platform) announcements are spread over 2 s. An instance that knows nothing reads the store only in its turn: by the directory, the two widest links of a data centre at once, the others 50 ms later each two unless one of them has told meanwhile. The use of limits comes from an instance that knows it, too. Instances that have been silent for 30 s are told every 5 s for 10 minutes, so that the directory need not be read every 30 s. Calls to the store are counted by kind and table (shelf_store_calls_total).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -22,8 +22,9 @@
 	// targetsSlack is how much older knowledge of targets gets for that.
 	targetsSlack = 2 * (targetsPeriod - defaultConfirmPeriod)
 	// followPause is how often an instance that doesn't read the source looks whether
-	// it has to.
+	// it has to, and beginPause the same while it knows nothing and can serve nobody.
 	followPause = 50 * time.Millisecond
+	beginPause  = 10 * time.Millisecond
 	// firstPause and lastPause bound the pause between reads that fail.
 	firstPause = 40 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
@@ -45,6 +46,9 @@
 	// itself: 0 for one that always does, while the others hear of changes from it.
 	// Nil means always.
 	Follow func() time.Duration
+	// Begin reports that this instance, while it knows nothing yet, is to read the source
+	// itself instead of hearing from another one. Nil means always.
+	Begin func() bool
 	// ConfirmPeriod returns how long one read waits for changes of the configuration:
 	// knowledge is confirmed that often, so that its age stays below twice of it. Nil
 	// means a second.
@@ -173,17 +177,27 @@
 // what it hears from the others is too old. It returns false at the context's end.
 func (c *Catalog) due(ctx context.Context, known func() time.Time, slack time.Duration) bool {
 	for ctx.Err() == nil {
-		if c.needed(known, slack) {
+		pause := followPause
+		if known().IsZero() {
+			pause = beginPause
+		}
+		if c.needed(known, slack) && c.mayBegin(known) {
 			return true
 		}
 		select {
 		case <-ctx.Done():
-		case <-c.Clock.After(followPause):
+		case <-c.Clock.After(pause):
 		}
 	}
 	return false
 }
 
+// mayBegin reports that a read may begin: where nothing is known yet, another instance may
+// be about to tell.
+func (c *Catalog) mayBegin(known func() time.Time) bool {
+	return c.Begin == nil || !known().IsZero() || c.Begin()
+}
+
 // needed reports that this instance is to read the source now.
 func (c *Catalog) needed(known func() time.Time, slack time.Duration) bool {
 	at := known()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`shelf_fetch_seconds{kind=%q,ok="%t"}`, kind, ok)).Update(progress.Took.Seconds())
 }
 
+// StoreCalled counts a call to the platform's store.
+func (m *Metrics) StoreCalled(call, table string, answered bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_store_calls_total{call=%q,table=%q,answered="%t"}`, call, table, answered)).Inc()
+}
+
 func (m *Metrics) attemptFailed() {
 	m.set.GetOrCreateCounter("shelf_attempts_failed_total").Inc()
 }
--- a/gossip/directory.go
+++ b/gossip/directory.go
@@ -1,52 +1,95 @@
 package gossip
 
-import "context"
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
 
-// loopDirectory announces this instance and learns of the others, until both
-// have succeeded; later it reads again now and then.
+const (
+	// announceSpread is the time over which instances announce themselves where all start
+	// for the first time: the platform writes some 200 rows of one table a second, one
+	// after the other, and turns away whoever would wait for over a second.
+	announceSpread = 2 * time.Second
+	// directoryPeriod is how often the directory is read though nothing is missing. Who is
+	// missing there announces itself to the others and is heard by them.
+	directoryPeriod = 10 * time.Minute
+	// firstRetry and lastRetry bound the pause after a call to the directory that failed;
+	// it doubles, since the platform counts the calls that it turns away too.
+	firstRetry = 300 * time.Millisecond
+	lastRetry  = 2400 * time.Millisecond
+)
+
+// loopDirectory learns of the other instances and announces this one if it is not listed
+// yet. Who is listed already, as after a restart, costs the platform one call.
 func (n *Node) loopDirectory(ctx context.Context) error {
-	announced := false
-	for {
-		if !announced {
-			err := n.Directory.Announce(ctx, n.Self)
-			announced = err == nil
-			if err != nil {
-				n.Log.Warn("This instance could not be announced.", "error", err)
-			}
-		}
-		n.readDirectory(ctx)
-		pause := directoryPeriod
-		if !announced || !n.Listed() {
-			pause = directoryQuickly
+	announced := n.FirstStart && n.announceFirst(ctx)
+	retry := firstRetry
+	for ctx.Err() == nil {
+		listed, err := n.readDirectory(ctx)
+		written := err == nil && !announced && !listed && n.announce(ctx)
+		announced = announced || listed || written
+		pause := jitter(directoryPeriod)
+		switch {
+		case written:
+			// Who announced itself meanwhile didn't see this instance.
+			continue
+		case !announced || err != nil:
+			pause = jitter(retry)
+			retry = min(2*retry, lastRetry)
+		default:
+			retry = firstRetry
 		}
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-n.Clock.After(jitter(pause)):
+		case <-n.Clock.After(pause):
 		}
 	}
+	return nil
+}
+
+// announceFirst announces this instance where all start for the first time; nobody is
+// listed before, and there is no hurry.
+func (n *Node) announceFirst(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.Clock.After(time.Duration(rand.Float64() * float64(announceSpread))):
+	}
+	return n.announce(ctx)
+}
+
+func (n *Node) announce(ctx context.Context) bool {
+	err := n.Directory.Announce(ctx, n.Self)
+	if err != nil {
+		n.Log.Warn("This instance could not be announced.", "error", err)
+		return false
+	}
+	n.Log.Info("This instance is announced.", "instance", n.Self.ID, "address", n.Self.Address)
+	return true
 }
 
-func (n *Node) readDirectory(ctx context.Context) {
+// readDirectory learns of the instances that are listed, and reports whether this one is,
+// as it is today.
+func (n *Node) readDirectory(ctx context.Context) (listed bool, err error) {
 	instances, err := n.Directory.Instances(ctx)
 	if err != nil {
 		n.Log.Warn("The directory of instances can't be read.", "error", err)
-		return
+		return false, err
 	}
 	now := n.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.listed = true
 	for _, instance := range instances {
 		if instance.ID != n.Self.ID {
 			n.learn(instance, now)
+			continue
 		}
+		listed = instance == n.Self
 	}
-}
-
-// Listed reports that the directory of instances has been read.
-func (n *Node) Listed() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.listed
+	if n.listedAt.IsZero() {
+		n.listedAt = now
+	}
+	n.Log.Info("The directory of instances was read.", "instances", len(instances), "listed", listed)
+	return listed, nil
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -29,12 +29,12 @@
 	SilentAfter = time.Second
 	// quietPeriod is how often an instance that is silent is still told.
 	quietPeriod = 500 * time.Millisecond
-	// forgetAfter is how long a silent instance is remembered.
-	forgetAfter = 30 * time.Second
-	// directoryPeriod is how often the directory of instances is read, and
-	// directoryQuickly how often until it was read once.
-	directoryPeriod  = 30 * time.Second
-	directoryQuickly = 300 * time.Millisecond
+	// forgetAfter is how long a silent instance counts as one that there is, and
+	// rememberFor how long it is still told, every dormantPeriod: two sides of a cut that
+	// have forgotten each other would otherwise need the directory to meet again.
+	forgetAfter   = 30 * time.Second
+	rememberFor   = 10 * time.Minute
+	dormantPeriod = 5 * time.Second
 	// maxDatagram is the largest message, in bytes.
 	maxDatagram = 60 << 10
 )
@@ -63,11 +63,12 @@
 	Log         *log.Logger
 	Self        shelfshelf.Instance
 	Incarnation uint64
-	// LinkMbps is what the link of this machine carries, in Mbit/s; 0 if not known.
-	LinkMbps  float64
-	Conn      net.PacketConn
-	Handler   Handler
-	Directory shelfshelf.InstanceDirectory
+	// FirstStart says that the whole deployment starts for the first time, so that nobody
+	// has announced itself before.
+	FirstStart bool
+	Conn       net.PacketConn
+	Handler    Handler
+	Directory  shelfshelf.InstanceDirectory
 	// Other takes the datagrams whose first byte is OtherMarker; nil means that there
 	// are none.
 	Other       func(content []byte, from netip.AddrPort)
@@ -80,16 +81,12 @@
 	centres  map[shelfshelf.DataCentre]*centreState
 	sequence uint64
 	leaving  bool
-	listed   bool
+	// listedAt is when the directory of instances was first read; zero if it never was.
+	listedAt time.Time
 }
 
 // Run announces this instance and exchanges messages until the context ends.
 func (n *Node) Run(ctx context.Context) error {
-	n.mu.Lock()
-	n.start = n.Clock.Now()
-	n.peers = make(map[shelfshelf.InstanceID]*peerState)
-	n.centres = make(map[shelfshelf.DataCentre]*centreState)
-	n.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	var group run.Group
 	group.Add(func() error { return n.loopReceive(ctx) }, func(error) {
@@ -102,9 +99,12 @@
 	return group.Run()
 }
 
-// Init makes the parts that Kick needs; it is called before Run.
+// Init begins the instance's life; it is called before Run and all else.
 func (n *Node) Init() {
 	n.kick = make(chan struct{}, 1)
+	n.start = n.Clock.Now()
+	n.peers = make(map[shelfshelf.InstanceID]*peerState)
+	n.centres = make(map[shelfshelf.DataCentre]*centreState)
 }
 
 // Kick sends the next status at once, as after a change that others wait for.
@@ -239,8 +239,10 @@
 		if !n.local(p.instance) {
 			continue
 		}
-		locals++
-		if p.silent && now.Sub(p.told) < quietPeriod {
+		if !p.dormant {
+			locals++
+		}
+		if now.Sub(p.told) < p.pause() {
 			continue
 		}
 		p.told = now
@@ -260,7 +262,6 @@
 	status.From = n.Self
 	status.Incarnation = n.Incarnation
 	status.Sequence = n.sequence
-	status.LinkMbps = n.LinkMbps
 	if n.leaving {
 		status.From.State = shelfshelf.InstanceLeaving
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -31,14 +31,17 @@
 		sent := message{
 			kind: kindAsk,
 			status: shelfshelf.Status{
-				From:           shelfshelf.Instance{ID: "a", DataCentre: "z", Address: "10.0.0.1:1", State: shelfshelf.InstanceLive},
+				From: shelfshelf.Instance{
+					ID: "a", DataCentre: "z", Address: "10.0.0.1:1", State: shelfshelf.InstanceLive,
+					LinkMbps: rapid.Float64().Draw(t, "link"),
+				},
 				Incarnation:    rapid.Uint64().Draw(t, "incarnation"),
 				Sequence:       rapid.Uint64().Draw(t, "sequence"),
 				Revision:       shelfshelf.Revision(rapid.Uint64().Draw(t, "revision")),
 				RevisionAge:    time.Duration(rapid.Int64().Draw(t, "age")),
 				TargetsVersion: rapid.Uint64().Draw(t, "version"),
 				SourceLost:     rapid.Bool().Draw(t, "lost"),
-				LinkMbps:       rapid.Float64().Draw(t, "link"),
+				Recalled:       rapid.Bool().Draw(t, "recalled"),
 				Settled:        rapid.Bool().Draw(t, "settled"),
 				Loads:          loads,
 				Uses:           []shelfshelf.CustomerUse{{Customer: 7, Amount: 12}},
@@ -305,13 +308,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			n := &Node{
-				Clock: clockwork.NewFakeClockAt(now), Log: log.New(io.Discard), LinkMbps: c.self,
-				Self: shelfshelf.Instance{ID: "m", DataCentre: "dc"}, peers: make(map[shelfshelf.InstanceID]*peerState),
+				Clock: clockwork.NewFakeClockAt(now), Log: log.New(io.Discard),
+				Self: shelfshelf.Instance{ID: "m", DataCentre: "dc", LinkMbps: c.self}, peers: make(map[shelfshelf.InstanceID]*peerState),
 			}
 			for id, link := range c.peers {
-				from := shelfshelf.Instance{ID: id, DataCentre: "dc", Address: "127.0.0.1:1"}
+				from := shelfshelf.Instance{ID: id, DataCentre: "dc", Address: "127.0.0.1:1", LinkMbps: link}
 				p := n.learn(from, now)
-				p.take(message{status: shelfshelf.Status{From: from, Incarnation: 1, Revision: 1, LinkMbps: link}}, now)
+				p.take(message{status: shelfshelf.Status{From: from, Incarnation: 1, Revision: 1}}, now)
 				p.heardBefore = true
 			}
 			if got := n.First(); got != c.want {
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -32,9 +32,12 @@
 	// heardBefore and silent tell what was logged last.
 	heardBefore bool
 	silent      bool
-	sourceLost  bool
-	revision    shelfshelf.Revision
-	linkMbps    float64
+	// dormant says that it has been silent for so long that it no longer counts.
+	dormant    bool
+	sourceLost bool
+	revision   shelfshelf.Revision
+	// recalled says that it knows what customers used before it started.
+	recalled bool
 	// unanswered counts exchanges without an answer.
 	unanswered int
 }
@@ -62,7 +65,8 @@
 	p.instance = m.status.From
 	p.sourceLost = m.status.SourceLost
 	p.revision = m.status.Revision
-	p.linkMbps = m.status.LinkMbps
+	p.recalled = m.status.Recalled
+	p.dormant = false
 	p.unanswered = 0
 	return true
 }
@@ -139,11 +143,26 @@
 			n.Log.Warn("An instance is silent.", "instance", id, "quiet", quiet)
 		}
 		if quiet > forgetAfter && n.local(p.instance) {
+			p.dormant = true
+			p.heardBefore = false
+		}
+		if quiet > forgetAfter+rememberFor && n.local(p.instance) {
 			delete(n.peers, id)
 		}
 	}
 }
 
+// pause is the least time between two statuses for an instance of this data centre.
+func (p *peerState) pause() time.Duration {
+	switch {
+	case p.dormant:
+		return dormantPeriod
+	case p.silent:
+		return quietPeriod
+	}
+	return 0
+}
+
 // countLocal returns how many instances of this data centre are heard, this one
 // included; the lock is held.
 func (n *Node) countLocal() int {
@@ -213,17 +232,73 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Clock.Now()
-	for id, p := range n.peers {
+	for _, p := range n.peers {
 		fit := n.local(p.instance) && p.heardBefore && now.Sub(p.heard) < SilentAfter && !p.sourceLost &&
 			p.revision > 0 && p.instance.State != shelfshelf.InstanceLeaving
-		before := cmp.Or(cmp.Compare(n.LinkMbps, p.linkMbps), cmp.Compare(id, n.Self.ID)) < 0
-		if fit && before {
+		if fit && n.before(p.instance) {
 			return false
 		}
 	}
 	return true
 }
 
+// before reports that another instance goes before this one where one does something for
+// all: the one with the wider link, and of equal ones the first by name.
+func (n *Node) before(other shelfshelf.Instance) bool {
+	return cmp.Or(cmp.Compare(n.Self.LinkMbps, other.LinkMbps), cmp.Compare(other.ID, n.Self.ID)) < 0
+}
+
+// Started is what an instance that has just started knows of the others of its data
+// centre.
+type Started struct {
+	// Running is the time since the start.
+	Running time.Duration
+	// Listed is the time since the directory of instances was read; negative if it has not
+	// been.
+	Listed time.Duration
+	// Before counts the instances of the directory that go before this one.
+	Before int
+}
+
+// Started tells how far this instance's start has come.
+func (n *Node) Started() Started {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	started := Started{Running: now.Sub(n.start), Listed: -1}
+	if !n.listedAt.IsZero() {
+		started.Listed = now.Sub(n.listedAt)
+	}
+	for _, p := range n.peers {
+		if n.local(p.instance) && !p.dormant && p.instance.State != shelfshelf.InstanceLeaving && n.before(p.instance) {
+			started.Before++
+		}
+	}
+	return started
+}
+
+// Knowing returns the addresses of those instances of this data centre that are heard and
+// fulfil a condition on what they told.
+func (n *Node) Knowing(fit func(Told) bool) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	var addresses []string
+	for _, p := range n.peers {
+		heard := n.local(p.instance) && p.heardBefore && now.Sub(p.heard) < SilentAfter
+		if heard && fit(Told{Revision: p.revision, Recalled: p.recalled}) {
+			addresses = append(addresses, p.instance.Address)
+		}
+	}
+	return addresses
+}
+
+// Told is what an instance has told of its knowledge.
+type Told struct {
+	Revision shelfshelf.Revision
+	Recalled bool
+}
+
 // LeadingCentre reports that this data centre is among the first so many of those
 // that are heard.
 func (n *Node) LeadingCentre(count int) bool {
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -10,7 +10,7 @@
 )
 
 // wireVersion changes with the form of messages.
-const wireVersion = 4
+const wireVersion = 5
 
 // The most bytes that one entry takes in CBOR, and all else of a message or a digest.
 const (
@@ -63,6 +63,7 @@
 		LinkMbps        float64
 		SourceLost      bool
 		Settled         bool
+		Recalled        bool
 		Loads           []wireLoad
 		Uses            []wireUse
 		EndedUses       []wireUse
@@ -128,9 +129,10 @@
 		RevisionAge:     int64(s.RevisionAge),
 		TargetsVersion:  s.TargetsVersion,
 		TargetsAge:      int64(s.TargetsAge),
-		LinkMbps:        s.LinkMbps,
+		LinkMbps:        s.From.LinkMbps,
 		SourceLost:      s.SourceLost,
 		Settled:         s.Settled,
+		Recalled:        s.Recalled,
 		Loads:           loadsToWire(s.Loads),
 		Uses:            usesToWire(s.Uses),
 		EndedUses:       usesToWire(s.EndedUses),
@@ -167,6 +169,7 @@
 				DataCentre: shelfshelf.DataCentre(wire.DataCentre),
 				Address:    wire.Address,
 				State:      shelfshelf.InstanceState(wire.State),
+				LinkMbps:   wire.LinkMbps,
 			},
 			Incarnation:    wire.Incarnation,
 			Sequence:       wire.Sequence,
@@ -174,9 +177,9 @@
 			RevisionAge:    time.Duration(wire.RevisionAge),
 			TargetsVersion: wire.TargetsVersion,
 			TargetsAge:     time.Duration(wire.TargetsAge),
-			LinkMbps:       wire.LinkMbps,
 			SourceLost:     wire.SourceLost,
 			Settled:        wire.Settled,
+			Recalled:       wire.Recalled,
 			Loads:          loadsFromWire(wire.Loads),
 			Uses:           usesFromWire(wire.Uses),
 			EndedUses:      usesFromWire(wire.EndedUses),
--- a/node/build.go
+++ b/node/build.go
@@ -20,7 +20,7 @@
 func (n *Node) build() error {
 	n.catalog = &catalog.Catalog{
 		Clock: n.Clock, Log: n.Log.WithPrefix("catalog"), Source: n.Platform.Catalog,
-		Follow: n.follow, Changed: n.changed,
+		Follow: n.follow, Begin: n.readsAtStart, Changed: n.changed,
 		ConfirmPeriod: func() time.Duration { return n.leaseShare(confirmShare) },
 	}
 	n.balancer = &balance.Balancer{
@@ -39,14 +39,15 @@
 	}
 	n.quota.Start()
 	n.keeper = &quota.Keeper{
-		Clock: n.Clock, Log: n.Log.WithPrefix("quota"), Ledger: n.quota, Store: n.Platform.Uses, Due: n.leads,
+		Clock: n.Clock, Log: n.Log.WithPrefix("quota"), Ledger: n.quota, Store: &startUses{node: n}, Due: n.leads,
 	}
 	n.metrics = gateway.NewMetrics()
-	n.relay = &relay.Relay{Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Fetched: n.metrics.Fetched, Dial: n.Sockets.Dial}
+	n.relay = &relay.Relay{Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Uses: n.quota.Known, Fetched: n.metrics.Fetched, Dial: n.Sockets.Dial}
 	n.relay.Init()
 	if err := n.buildGossip(); err != nil {
 		return err
 	}
+	n.keeper.Recalled = n.gossip.Kick
 	if err := n.buildPlaces(); err != nil {
 		return err
 	}
@@ -69,9 +70,10 @@
 			DataCentre: n.Settings.DataCentre,
 			Address:    n.Settings.Peer,
 			State:      shelfshelf.InstanceLive,
+			LinkMbps:   n.Settings.LinkMbps,
 		},
 		Incarnation: uint64(n.Clock.Now().UnixNano()),
-		LinkMbps:    n.Settings.LinkMbps,
+		FirstStart:  n.Settings.FirstStart,
 		Conn:        datagrams,
 		Handler:     n,
 		Directory:   n.Platform.Directory,
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -30,6 +30,7 @@
 	status := shelfshelf.Status{
 		SourceLost: n.catalog.SourceLost(),
 		Settled:    n.quota.Settled(),
+		Recalled:   n.quota.Recalled(),
 		Loads:      n.balancer.Own(),
 		Uses:       n.quota.Own(),
 		EndedUses:  n.quota.Ended(),
--- a/node/node.go
+++ b/node/node.go
@@ -95,6 +95,8 @@
 	figures  net.Listener
 	stopping atomic.Bool
 	wasReady atomic.Bool
+	// toldCatalogAt is since when another instance knows a configuration.
+	toldCatalogAt toldAt
 	// keyLease is how old the knowledge of the configuration may be for keys to be
 	// taken.
 	keyLease atomic.Int64
@@ -142,6 +144,11 @@
 	return n.build()
 }
 
+// StoreCalled counts a call to the platform's store; Open comes before it.
+func (n *Node) StoreCalled(call, table string, answered bool) {
+	n.metrics.StoreCalled(call, table, answered)
+}
+
 // Reload takes changed settings: the limits, while addresses and names stay until
 // the next start.
 func (n *Node) Reload(read *settings.Node) {
--- /dev/null
+++ b/node/start.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/gossip"
+)
+
+const (
+	// startReaders is how many instances of a data centre read the store at once when they
+	// start, so that one which doesn't come up holds nobody up.
+	startReaders = 2
+	// startStep is how much later each next one reads it if nobody has told meanwhile: a
+	// read takes some 4 ms, and a status and a fetch as long on a link of 10 Mbit/s.
+	startStep = 50 * time.Millisecond
+	// startLast bounds that: with the first 60 of a data centre gone, the others read.
+	startLast = 1500 * time.Millisecond
+	// listPatience is how long an instance that can't read the directory waits for others
+	// to tell before it reads the store, and firstListPatience the same where all start for
+	// the first time and announce themselves over 2 s.
+	listPatience      = 300 * time.Millisecond
+	firstListPatience = 2600 * time.Millisecond
+	// firstWait is how much longer each waits there: whoever comes is heard with the next
+	// status of the others, and there is no hurry.
+	firstWait = 500 * time.Millisecond
+	// tellPatience is how long another instance's knowledge may be on its way.
+	tellPatience = time.Second
+	// askPause is the pause between two tries to get something from another instance.
+	askPause = 20 * time.Millisecond
+)
+
+// startDelay returns how long after it has read the directory an instance reads the store
+// itself, by how many others go before it. Without it, each of 295 instances that start
+// together makes three calls for what one could tell the others.
+func startDelay(before int) time.Duration {
+	return min(time.Duration(before/startReaders)*startStep, startLast)
+}
+
+// starting is what decides whether an instance that knows nothing reads the store.
+type starting struct {
+	gossip.Started
+	// Told is how long another instance has been known to have what is missing; negative
+	// if none is.
+	Told time.Duration
+	// First says that the whole deployment starts for the first time.
+	First bool
+}
+
+// reads reports that the instance is to read the store itself.
+func (s starting) reads() bool {
+	patience, wait := listPatience, startDelay(s.Before)
+	if s.First {
+		patience, wait = firstListPatience, wait+firstWait
+	}
+	switch {
+	case s.Told >= 0:
+		return s.Told >= tellPatience
+	case s.Listed < 0:
+		return s.Running >= patience
+	}
+	return s.Listed >= wait
+}
+
+// readsAtStart reports that this instance, while it knows no configuration or no targets,
+// reads the store for them.
+func (n *Node) readsAtStart() bool {
+	return n.readsStore(&n.toldCatalogAt, func(told gossip.Told) bool { return told.Revision > 0 })
+}
+
+// readsStore decides whether what is missing is read from the store; since is when another
+// instance was first known to have it.
+func (n *Node) readsStore(since *toldAt, has func(gossip.Told) bool) bool {
+	s := starting{Started: n.gossip.Started(), Told: -1, First: n.Settings.FirstStart}
+	if at := since.note(len(n.gossip.Knowing(has)) > 0, n.Clock.Now()); !at.IsZero() {
+		s.Told = n.Clock.Now().Sub(at)
+	}
+	return s.reads()
+}
+
+// startUses is where a starting instance learns what customers have used: from another
+// instance that knows it, or from the store.
+type startUses struct {
+	node *Node
+	told toldAt
+}
+
+// SaveUses saves to the store.
+func (u *startUses) SaveUses(ctx context.Context, uses []shelfshelf.SavedUse) error {
+	return u.node.Platform.Uses.SaveUses(ctx, uses)
+}
+
+// LoadUses asks an instance that knows, and the store where this one is to read it.
+func (u *startUses) LoadUses(ctx context.Context) (shelfshelf.SavedUses, error) {
+	n := u.node
+	has := func(told gossip.Told) bool { return told.Recalled }
+	for {
+		if addresses := n.gossip.Knowing(has); len(addresses) > 0 {
+			saved, err := n.relay.FetchUses(ctx, addresses[rand.IntN(len(addresses))])
+			if err == nil || errors.Is(err, shelfshelf.ErrNotFound) {
+				return saved, err
+			}
+		}
+		if n.readsStore(&u.told, has) {
+			return n.Platform.Uses.LoadUses(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return shelfshelf.SavedUses{}, ctx.Err()
+		case <-n.Clock.After(askPause):
+		}
+	}
+}
--- a/nodecli/node.go
+++ b/nodecli/node.go
@@ -63,6 +63,7 @@
 	if err := instance.Open(); err != nil {
 		return err
 	}
+	store.Called = instance.StoreCalled
 	reload.clock, reload.log, reload.apply = clock, logger, instance.Reload
 	return runWith(env.Context, instance, reload)
 }
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -34,6 +34,8 @@
 	Store  shelfshelf.UseStore
 	// Due reports that this instance is the one that saves.
 	Due func() bool
+	// Recalled is called once it is known what was used before; may be nil.
+	Recalled func()
 
 	failed bool
 }
@@ -41,6 +43,9 @@
 // Run recalls and saves until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.recall(ctx)
+	if k.Recalled != nil {
+		k.Recalled()
+	}
 	return k.loop(ctx)
 }
 
@@ -49,6 +54,7 @@
 	for ctx.Err() == nil && !k.Ledger.Settled() {
 		saved, err := k.Store.LoadUses(ctx)
 		if errors.Is(err, shelfshelf.ErrNotFound) {
+			k.Ledger.NothingSaved()
 			k.Log.Info("No use of customers was saved.")
 			return
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -52,6 +52,8 @@
 	// saved is what was used before this instance started, by data centre; nil if that
 	// isn't known.
 	saved map[shelfshelf.DataCentre]*told
+	// asked says that it is known, or that nobody has saved it.
+	asked bool
 }
 
 // account is what a customer has used here in the window, in its limit's unit.
--- a/quota/saved.go
+++ b/quota/saved.go
@@ -10,6 +10,7 @@
 func (l *Ledger) Recall(saved shelfshelf.SavedUses) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.asked = true
 	at := l.Clock.Now().Add(-saved.Age)
 	l.saved = make(map[shelfshelf.DataCentre]*told)
 	for _, use := range saved.Uses {
@@ -22,6 +23,36 @@
 	}
 }
 
+// NothingSaved notes that nobody has saved what was used before.
+func (l *Ledger) NothingSaved() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked = true
+}
+
+// Recalled reports that this instance knows what was used before it started, as far as
+// anybody does.
+func (l *Ledger) Recalled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asked || l.Clock.Now().Sub(l.start) >= l.Window
+}
+
+// Known returns what customers have used at all instances, for one that starts. The error
+// is ErrUnavailable if that is not known here yet, and ErrNotFound if nothing was saved.
+func (l *Ledger) Known() (shelfshelf.SavedUses, error) {
+	if !l.Recalled() {
+		return shelfshelf.SavedUses{}, shelfshelf.ErrUnavailable
+	}
+	l.mu.Lock()
+	nothing := l.saved == nil && l.Clock.Now().Sub(l.start) < l.Window
+	l.mu.Unlock()
+	if nothing {
+		return shelfshelf.SavedUses{}, shelfshelf.ErrNotFound
+	}
+	return shelfshelf.SavedUses{Uses: l.All()}, nil
+}
+
 // All returns what customers have used at all instances.
 func (l *Ledger) All() []shelfshelf.SavedUse {
 	l.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,6 +38,10 @@
 	Clock   shelfshelf.Clock
 	Log     *log.Logger
 	Catalog *catalog.Catalog
+	// Uses returns what customers have used, for an instance that starts; the error is
+	// ErrUnavailable if that is not known here yet, ErrNotFound if nobody knows. Nil means
+	// that it never is.
+	Uses func() (shelfshelf.SavedUses, error)
 	// Fetched is told of each fetch: what was fetched, how far it came and whether it
 	// was taken; may be nil.
 	Fetched func(kind string, progress transfer.Progress, ok bool)
@@ -77,6 +81,7 @@
 	mux.HandleFunc("GET /"+kindConfiguration, r.serveManifest)
 	mux.HandleFunc("POST /"+kindParts, r.serveParts)
 	mux.HandleFunc("GET /"+kindTargets, r.serveTargets)
+	mux.HandleFunc("GET /"+kindUses, r.serveUses)
 	return mux
 }
 
@@ -178,11 +183,16 @@
 	if ctx.Err() != nil {
 		return
 	}
+	r.report(e, kind, err)
+}
+
+// report logs and counts what became of an exchange.
+func (r *Relay) report(e *exchange, kind string, err error) {
 	e.progress.Took = r.Clock.Now().Sub(e.began)
 	if r.Fetched != nil {
 		r.Fetched(kind, e.progress, err == nil)
 	}
-	fields := []any{"kind", kind, "from", address, "bytes", e.progress.Bytes, "asks", e.asks, "first", e.progress.First, "took", e.progress.Took}
+	fields := []any{"kind", kind, "from", e.address, "bytes", e.progress.Bytes, "asks", e.asks, "first", e.progress.First, "took", e.progress.Took}
 	if err != nil {
 		r.Log.Warn("Another instance gave no knowledge.", append(fields, "error", err)...)
 		return
@@ -228,8 +238,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "ask another instance")
 	}
-	if answer.Status != http.StatusOK {
-		return nil, eris.Errorf("another instance answered %d", answer.Status)
+	switch answer.Status {
+	case http.StatusOK:
+		return answer.Body, nil
+	case http.StatusNotFound:
+		return nil, eris.Wrap(shelfshelf.ErrNotFound, "another instance")
 	}
-	return answer.Body, nil
+	return nil, eris.Errorf("another instance answered %d", answer.Status)
 }
--- /dev/null
+++ b/relay/uses.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+// wireSavedUse is what a customer has used in a data centre, by parts of the window.
+type wireSavedUse struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre string
+	Customer   uint32
+	Parts      [shelfshelf.UseParts]float64
+}
+
+// wireSavedUses is what customers have used so long ago, in nanoseconds.
+type wireSavedUses struct {
+	_    struct{} `cbor:",toarray"`
+	Age  int64
+	Uses []wireSavedUse
+}
+
+func (r *Relay) serveUses(w http.ResponseWriter, _ *http.Request) {
+	err := shelfshelf.ErrUnavailable
+	var saved shelfshelf.SavedUses
+	if r.Uses != nil {
+		saved, err = r.Uses()
+	}
+	switch {
+	case errors.Is(err, shelfshelf.ErrNotFound):
+		http.Error(w, "nothing was saved", http.StatusNotFound)
+		return
+	case err != nil:
+		http.Error(w, "the use of customers is not known", http.StatusServiceUnavailable)
+		return
+	}
+	content, err := encodeUses(saved)
+	r.write(w, content, err)
+}
+
+// FetchUses asks another instance what customers have used. The error is ErrNotFound if
+// it says that nothing was saved.
+func (r *Relay) FetchUses(ctx context.Context, address string) (shelfshelf.SavedUses, error) {
+	e := &exchange{relay: r, address: address, began: r.Clock.Now()}
+	content, err := e.ask(ctx, http.MethodGet, kindUses, nil)
+	var saved shelfshelf.SavedUses
+	if err == nil {
+		saved, err = decodeUses(content)
+	}
+	r.report(e, kindUses, err)
+	saved.Age += r.Clock.Now().Sub(e.began)
+	return saved, err
+}
+
+func encodeUses(saved shelfshelf.SavedUses) ([]byte, error) {
+	wire := wireSavedUses{Age: int64(saved.Age)}
+	for _, use := range saved.Uses {
+		wire.Uses = append(wire.Uses, wireSavedUse{DataCentre: string(use.DataCentre), Customer: uint32(use.Customer), Parts: use.Parts})
+	}
+	content, err := cbor.Marshal(wire)
+	return content, eris.Wrap(err, "encode uses")
+}
+
+func decodeUses(content []byte) (shelfshelf.SavedUses, error) {
+	var wire wireSavedUses
+	if err := cbor.Unmarshal(content, &wire); err != nil {
+		return shelfshelf.SavedUses{}, eris.Wrap(err, "decode uses")
+	}
+	saved := shelfshelf.SavedUses{Age: time.Duration(wire.Age)}
+	for _, use := range wire.Uses {
+		saved.Uses = append(saved.Uses, shelfshelf.SavedUse{
+			DataCentre: shelfshelf.DataCentre(use.DataCentre), Customer: shelfshelf.CustomerKey(use.Customer), Parts: use.Parts,
+		})
+	}
+	return saved, nil
+}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -17,6 +17,7 @@
 	kindConfiguration = "configuration"
 	kindParts         = "parts"
 	kindTargets       = "targets"
+	kindUses          = "uses"
 )
 
 type (
--- a/settings/node.go
+++ b/settings/node.go
@@ -43,6 +43,8 @@
 	Descriptors int
 	// LinkMbps is what the machine's link carries; 0 means that it is not known.
 	LinkMbps float64
+	// FirstStart says that the whole deployment starts for the first time.
+	FirstStart bool
 	// KeyLease is how soon after a key is revoked no request with it may run.
 	KeyLease  time.Duration
 	StopLimit time.Duration
@@ -76,6 +78,7 @@
 	MemoryMB    int        `json:"memoryMb"`
 	Descriptors int        `json:"descriptors"`
 	LinkMbps    float64    `json:"linkMbps"`
+	FirstStart  bool       `json:"firstStart"`
 	KeyLease    string     `json:"keyLease"`
 	StopLimit   string     `json:"stopLimit"`
 	Retry       *wireRetry `json:"retry"`
@@ -114,6 +117,7 @@
 		MemoryMB:    wire.MemoryMB,
 		Descriptors: wire.Descriptors,
 		LinkMbps:    wire.LinkMbps,
+		FirstStart:  wire.FirstStart,
 		KeyLease:    duration(wire.KeyLease, 0),
 		StopLimit:   duration(wire.StopLimit, defaultNodeStop),
 		Retry:       retrybudget.Limits{Ratio: defaultRetryRatio, Slack: defaultRetrySlack, Window: defaultRetryWindow},
--- a/status.go
+++ b/status.go
@@ -18,12 +18,12 @@
 	// TargetsVersion orders lists of targets, and TargetsAge is the list's age.
 	TargetsVersion uint64
 	TargetsAge     time.Duration
-	// LinkMbps is what the link of the sender's machine carries, in Mbit/s; 0 if not known.
-	LinkMbps float64
 	// SourceLost says that the sender's reads of the platform's store fail.
 	SourceLost bool
-	// Settled says that the sender has seen the whole window that limits count in.
-	Settled bool
+	// Settled says that the sender has seen the whole window that limits count in, and
+	// Recalled that it knows what was used before it started, as far as anybody does.
+	Settled  bool
+	Recalled bool
 	// Loads is what the sender has in flight at targets, and Uses what customers have
 	// used there.
 	Loads []TargetLoad
--- a/store.go
+++ b/store.go
@@ -59,6 +59,9 @@
 	// Address is the instance's peer address, IP and port.
 	Address string
 	State   InstanceState
+	// LinkMbps is what the link of the instance's machine carries, in Mbit/s; 0 if it is
+	// not known.
+	LinkMbps float64
 }
 
 // InstanceList is the platform's list of instances.
