An engine that one instance could not reach rests for all

Cause: an engine that has crashed runs nothing, so that it looks best to every instance; its owner gave out its places, and each of 295 instances found out by itself, with a try of 3 ms (refused) to 150 ms (no power) each.

Ruled out: telling rests in statuses (33 engines x 295 instances, and up to 0.4 s late). The owner is asked for each request anyway and is exact.

Change: who could not reach an engine says so when it gives its place back.

--- a/balance/lease.go
+++ b/balance/lease.go
@@ -98,7 +98,7 @@
 	b.release(l, result, unused)
 	b.mu.Unlock()
 	if l.place != 0 {
-		b.Places.Give(l.place)
+		b.Places.Give(l.place, result.Unreachable)
 	}
 }
 
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -12,6 +12,9 @@
 	// asksAtMost is how many engines a request asks for a place; the first that gives one
 	// gets it. With several lines to stand in, a place is free sooner than in one.
 	asksAtMost = 8
+	// restingAtMost is how many engines beyond those may answer that they rest: a quarter of
+	// all may have crashed at once, and they look best since they run nothing.
+	restingAtMost = 24
 	// ownerWordKept is how long an owner's word on an engine's load goes before what the
 	// instances tell each other: the latter is 0.1 to 0.4 s old.
 	ownerWordKept = 300 * time.Millisecond
@@ -28,8 +31,9 @@
 	// waits are the lines that the request stands in, as far as is known: some owners may
 	// not have answered yet.
 	waits map[shelfshelf.PlaceID]*targetState
-	// answered counts the owners that have.
+	// answered counts the owners that have, resting those that said that their engine rests.
 	answered int
+	resting  int
 }
 
 // acquireOwned asks owners for a place at the engines that look best, in turn, and
@@ -42,8 +46,8 @@
 		waits:    make(map[shelfshelf.PlaceID]*targetState),
 	}
 	defer func() { a.leaveLines(lease != nil) }()
-	for asked := range asksAtMost {
-		if asked > 0 && !b.Clock.Now().Before(need.WaitUntil) {
+	for len(a.tried)-a.resting < asksAtMost && a.resting < restingAtMost {
+		if len(a.tried) > 0 && !b.Clock.Now().Before(need.WaitUntil) {
 			// Owners that don't answer have taken the time.
 			break
 		}
@@ -115,6 +119,11 @@
 	case shelfshelf.PlaceUnanswered:
 		a.waits[answer.ID] = t
 		return nil
+	case shelfshelf.PlaceRests:
+		a.answered++
+		a.resting++
+		b.hearRest(t, answer.Rest)
+		return nil
 	case shelfshelf.PlaceUnknown:
 	}
 	return a.takeAlone(t)
@@ -145,7 +154,7 @@
 	p := b.pools[a.need.Pool]
 	if p == nil || b.targets[t.target.Name] != t || !t.open(a.need, now) {
 		b.mu.Unlock()
-		b.Places.Give(id)
+		b.Places.Give(id, false)
 		return nil
 	}
 	lease := b.grant(p, t, a.need, now)
@@ -197,6 +206,15 @@
 	t.ownerAt = b.Clock.Now()
 }
 
+// hearRest notes an owner's word that an engine could not be reached.
+func (b *Balancer) hearRest(t *targetState, left time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until := b.Clock.Now().Add(left); until.After(t.restUntil) {
+		t.restUntil = until
+	}
+}
+
 // Capacity returns how many requests an engine runs at once, and how many it runs by
 // what the instances tell each other; false if it is unknown.
 func (b *Balancer) Capacity(key shelfshelf.TargetKey) (slots, told int, known bool) {
--- a/balance/owned_test.go
+++ b/balance/owned_test.go
@@ -25,6 +25,8 @@
 	stray func(shelfshelf.PlaceID)
 	open  map[shelfshelf.PlaceID]bool
 	last  shelfshelf.PlaceID
+	// rest is how long engines rest whose owners say so.
+	rest time.Duration
 	// silence is how long an ask takes that nobody answers.
 	silence time.Duration
 }
@@ -60,7 +62,7 @@
 	o.open[id] = true
 	o.stray = func(other shelfshelf.PlaceID) { granted <- other }
 	o.waiting[ask.Target] = func() { granted <- id }
-	return shelfshelf.PlaceAnswer{ID: id, Outcome: outcome, Requests: 1}
+	return shelfshelf.PlaceAnswer{ID: id, Outcome: outcome, Requests: 1, Rest: o.rest}
 }
 
 func (o *owners) Took(shelfshelf.TargetKey, shelfshelf.DataCentre) shelfshelf.PlaceID {
@@ -71,14 +73,14 @@
 	return o.last
 }
 
-func (o *owners) Give(id shelfshelf.PlaceID) {
+func (o *owners) Give(id shelfshelf.PlaceID, _ bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.open, id)
 }
 
 func (o *owners) Leave(id shelfshelf.PlaceID, _ bool) {
-	o.Give(id)
+	o.Give(id, false)
 }
 
 // serve gives the ask that waits at an engine its place.
@@ -318,3 +320,32 @@
 		}
 	})
 }
+
+// Engines whose owners say that they rest don't count against the engines that a request
+// may ask, and are not asked again until they have rested.
+func TestRestingEnginesAreSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const resting = 11
+		o := newOwners()
+		o.rest = 300 * time.Millisecond
+		centres := make([]shelfshelf.DataCentre, resting+1)
+		for i := range centres {
+			// The one that works looks worse than all others: it is elsewhere.
+			centres[i] = here
+			o.set(fmt.Sprint("t", i), shelfshelf.PlaceRests)
+		}
+		centres[resting] = "b"
+		o.set(fmt.Sprint("t", resting), shelfshelf.PlaceGranted)
+		b := newBalancer(4, centres...)
+		b.Places = o
+		for i := range 2 {
+			lease := acquire(t, b, need(fmt.Sprint(i), time.Second))
+			if want := fmt.Sprint("t", resting); string(lease.Target.Name) != want {
+				t.Fatalf("got %s, not %s", lease.Target.Name, want)
+			}
+		}
+		if len(o.asked) != resting+2 {
+			t.Errorf("%d asks", len(o.asked))
+		}
+	})
+}
--- a/places.go
+++ b/places.go
@@ -21,6 +21,9 @@
 	// PlaceUnanswered means that the owner has not answered yet; the ask stands, and its
 	// place may still come.
 	PlaceUnanswered
+	// PlaceRests means that the engine could not be reached lately and gets nothing yet;
+	// the ask does not stand in its line.
+	PlaceRests
 )
 
 // PlaceAsk is an ask for a place at an engine.
@@ -63,6 +66,8 @@
 	Outcome PlaceOutcome
 	// Requests is how many places of the engine are taken, as its owner knows.
 	Requests int
+	// Rest is how much longer an engine rests, with PlaceRests.
+	Rest time.Duration
 }
 
 // Places asks the owners of engines for places. It is safe for concurrent use.
@@ -73,8 +78,8 @@
 	Ask(ctx context.Context, ask PlaceAsk, granted chan<- PlaceID) PlaceAnswer
 	// Took notes a place that was taken without an owner's word.
 	Took(target TargetKey, centre DataCentre) PlaceID
-	// Give gives a place back.
-	Give(id PlaceID)
+	// Give gives a place back; unreachable says that the engine could not be reached.
+	Give(id PlaceID, unreachable bool)
 	// Leave takes an ask out of its line; served says that its request found a place
 	// elsewhere.
 	Leave(id PlaceID, served bool)
--- a/places/book.go
+++ b/places/book.go
@@ -60,6 +60,7 @@
 	line  []waiting
 	// lengths is how well asks of each length were served lately.
 	lengths lengths
+	rest    rest
 }
 
 type placeKey struct {
@@ -91,7 +92,13 @@
 	e := b.engine(ask.Target, now)
 	b.note(holder, now)
 	key := placeKey{holder: holder, id: id}
-	if _, known := b.where[key]; !known {
+	_, asked := b.where[key]
+	if left := e.rest.left(now); left > 0 && !asked {
+		requests := len(e.held)
+		b.mu.Unlock()
+		return shelfshelf.PlaceAnswer{ID: id, Outcome: shelfshelf.PlaceRests, Requests: requests, Rest: left}
+	}
+	if !asked {
 		b.where[key] = ask.Target
 		e.insert(waiting{key: key, ask: ask, until: now.Add(ask.Wait)})
 	}
@@ -122,6 +129,17 @@
 
 // Release frees a place or takes an ask out of the line.
 func (b *Book) Release(holder Holder, id shelfshelf.PlaceID) {
+	b.giveBack(holder, id, (*rest).reached)
+}
+
+// Unreachable frees a place whose holder could not reach the engine, which rests.
+func (b *Book) Unreachable(holder Holder, id shelfshelf.PlaceID) {
+	b.giveBack(holder, id, (*rest).failed)
+}
+
+// giveBack frees a place, or takes an ask out of the line, and notes how the engine was
+// found.
+func (b *Book) giveBack(holder Holder, id shelfshelf.PlaceID, found func(*rest, placeKey, time.Time)) {
 	b.mu.Lock()
 	now := b.Clock.Now()
 	b.note(holder, now)
@@ -132,6 +150,9 @@
 		return
 	}
 	e := b.engines[target]
+	if _, held := e.held[key]; held {
+		found(&e.rest, key, now)
+	}
 	e.leave(key)
 	b.free(e, key)
 	grants := b.advance(target, e, now)
@@ -188,7 +209,7 @@
 			}
 		}
 		grants = append(grants, b.advance(target, e, now)...)
-		if len(e.held) == 0 && len(e.line) == 0 && now.Sub(e.since) > settleTime {
+		if len(e.held) == 0 && len(e.line) == 0 && now.Sub(e.since) > settleTime && now.After(e.rest.until.Add(lastRest)) {
 			delete(b.engines, target)
 		}
 	}
@@ -250,10 +271,11 @@
 	for len(e.line) > 0 {
 		at := e.lengths.next(e.line, now)
 		w := e.line[at]
-		if !known || e.free(capacity, w.ask, now) <= 0 {
+		if !known || e.rest.left(now) > 0 || e.free(capacity, w.ask, now) <= 0 {
 			return grants
 		}
 		e.held[w.key] = now
+		e.rest.let(w.key, now)
 		e.lengths.note(w.ask, true, now)
 		grants = append(grants, grant{key: w.key, requests: len(e.held)})
 		e.line = slices.Delete(e.line, at, at+1)
--- a/places/client.go
+++ b/places/client.go
@@ -77,7 +77,11 @@
 	select {
 	case answer := <-answers:
 		if answer.Outcome == shelfshelf.PlaceUnknown {
-			c.Give(id)
+			c.Give(id, false)
+		}
+		if answer.Outcome == shelfshelf.PlaceRests {
+			// The owner keeps nothing of it.
+			c.close(id)
 		}
 		return answer
 	case <-ctx.Done():
@@ -132,10 +136,17 @@
 	return c.add(&place{target: target, centre: centre, held: true})
 }
 
-// Give gives a place back.
-func (c *Client) Give(id shelfshelf.PlaceID) {
-	if owner := c.close(id); owner.IsValid() {
+// Give gives a place back; an engine that could not be reached rests.
+func (c *Client) Give(id shelfshelf.PlaceID, unreachable bool) {
+	owner := c.close(id)
+	switch {
+	case !owner.IsValid():
+	case !unreachable:
 		c.giveBack(owner, id)
+	case owner == c.Self.Address:
+		c.Book.Unreachable(c.Self, id)
+	default:
+		c.send(owner, message{kind: kindUnreachable, incarnation: c.Self.Incarnation, id: id})
 	}
 }
 
@@ -223,6 +234,8 @@
 		c.reply(holder, c.Book.Ask(holder, m.id, m.ask))
 	case kindGive:
 		c.Book.Release(holder, m.id)
+	case kindUnreachable:
+		c.Book.Unreachable(holder, m.id)
 	case kindLeave:
 		c.Book.Leave(holder, m.id, m.outcome == shelfshelf.PlaceGranted)
 	case kindSync:
@@ -240,8 +253,8 @@
 		return
 	}
 	c.heardAnswer(from)
-	open := c.settle(shelfshelf.PlaceAnswer{ID: m.id, Outcome: m.outcome, Requests: m.requests})
-	if !open && m.outcome != shelfshelf.PlaceUnknown {
+	open := c.settle(shelfshelf.PlaceAnswer{ID: m.id, Outcome: m.outcome, Requests: m.requests, Rest: m.rest})
+	if !open && m.outcome != shelfshelf.PlaceUnknown && m.outcome != shelfshelf.PlaceRests {
 		c.giveBack(from, m.id)
 	}
 }
@@ -249,7 +262,7 @@
 // reply sends an owner's answer to a holder.
 func (c *Client) reply(to Holder, answer shelfshelf.PlaceAnswer) {
 	c.send(to.Address, message{
-		kind: kindAnswer, incarnation: to.Incarnation, id: answer.ID, outcome: answer.Outcome, requests: answer.Requests,
+		kind: kindAnswer, incarnation: to.Incarnation, id: answer.ID, outcome: answer.Outcome, requests: answer.Requests, rest: answer.Rest,
 	})
 }
 
--- a/places/client_test.go
+++ b/places/client_test.go
@@ -27,7 +27,7 @@
 		if count != testSlots {
 			t.Fatalf("%d of %d places were given out", count, testSlots)
 		}
-		w.clients[addressOf(1)].Give(first)
+		w.clients[addressOf(1)].Give(first, false)
 		select {
 		case <-granted:
 		case <-time.After(100 * time.Millisecond):
@@ -45,7 +45,7 @@
 			granted := make(chan shelfshelf.PlaceID, 1)
 			answer := c.Ask(ctx, askOf(shelfshelf.TargetKey(round%3), 50*time.Millisecond), granted)
 			time.Sleep(60 * time.Millisecond)
-			c.Give(answer.ID)
+			c.Give(answer.ID, false)
 		}
 		w.setLost(0)
 		time.Sleep(4 * time.Second)
@@ -98,7 +98,7 @@
 		case <-time.After(61 * time.Millisecond):
 			t.Fatal("the late place is not told")
 		}
-		asker.Give(got.ID)
+		asker.Give(got.ID, false)
 		time.Sleep(60 * time.Millisecond)
 		if held := w.held(target); held != 0 {
 			t.Errorf("%d places are left", held)
@@ -129,7 +129,7 @@
 			if took := time.Since(asked); took > answerTime {
 				t.Fatalf("%+v after %v", got, took)
 			}
-			asker.Give(got.ID)
+			asker.Give(got.ID, false)
 		}
 		if took := time.Since(began); took > silenceBound+answerTime {
 			t.Errorf("the next owner answered after %v", took)
@@ -176,7 +176,7 @@
 		// from 0.95 to 1.95 s.
 		time.Sleep(700 * time.Millisecond)
 		w.kill(owner, true)
-		asker.Give(asker.Ask(ctx, askOf(target, 0), granted).ID)
+		asker.Give(asker.Ask(ctx, askOf(target, 0), granted).ID, false)
 		time.Sleep(400 * time.Millisecond)
 		got := asker.Ask(ctx, askOf(target, 0), granted)
 		if got.Outcome != shelfshelf.PlaceGranted {
@@ -184,7 +184,7 @@
 		}
 		w.revive(owner)
 		time.Sleep(time.Second)
-		asker.Give(got.ID)
+		asker.Give(got.ID, false)
 		time.Sleep(3 * time.Second)
 		if held := w.held(target); held != 0 {
 			t.Errorf("%d places are taken by nobody", held)
@@ -203,7 +203,7 @@
 		if took := time.Since(began); got.Outcome != shelfshelf.PlaceUnanswered || took > answerTime {
 			t.Errorf("%+v after %v", got, took)
 		}
-		asker.Give(got.ID)
+		asker.Give(got.ID, false)
 		w.setLost(0)
 		time.Sleep(silenceBound + passOver)
 		id := asker.Took(target, "")
@@ -211,7 +211,7 @@
 		if held := w.held(target); held != 1 {
 			t.Errorf("%d places are known to be held", held)
 		}
-		asker.Give(id)
+		asker.Give(id, false)
 		time.Sleep(10 * time.Millisecond)
 		if held := w.held(target); held != 0 {
 			t.Errorf("%d places are left", held)
@@ -236,7 +236,7 @@
 		go func() {
 			defer close(done)
 			for _, id := range held {
-				c.Give(id)
+				c.Give(id, false)
 			}
 		}()
 		select {
--- a/places/wire.go
+++ b/places/wire.go
@@ -29,6 +29,8 @@
 	// kindLeave takes an ask out of its line; its outcome says whether the request was
 	// granted a place elsewhere.
 	kindLeave
+	// kindUnreachable gives a place back at an engine that could not be reached.
+	kindUnreachable
 )
 
 // message is one datagram.
@@ -40,6 +42,7 @@
 	ask         shelfshelf.PlaceAsk
 	outcome     shelfshelf.PlaceOutcome
 	requests    int
+	rest        time.Duration
 	held        map[shelfshelf.PlaceID]shelfshelf.TargetKey
 }
 
@@ -57,6 +60,7 @@
 		StayMillis  int64
 		Outcome     uint8
 		Requests    int
+		RestMillis  int64
 		Held        []wirePlace
 	}
 	wirePlace struct {
@@ -79,6 +83,7 @@
 		StayMillis:  m.ask.Stay.Milliseconds(),
 		Outcome:     uint8(m.outcome),
 		Requests:    m.requests,
+		RestMillis:  m.rest.Milliseconds(),
 	}
 	for id, target := range m.held {
 		wire.Held = append(wire.Held, wirePlace{ID: uint64(id), Target: uint32(target)})
@@ -112,6 +117,7 @@
 		},
 		outcome:  shelfshelf.PlaceOutcome(wire.Outcome),
 		requests: wire.Requests,
+		rest:     time.Duration(wire.RestMillis) * time.Millisecond,
 	}
 	if len(wire.Held) > 0 {
 		m.held = make(map[shelfshelf.PlaceID]shelfshelf.TargetKey, len(wire.Held))
--- a/places/wire_test.go
+++ b/places/wire_test.go
@@ -13,7 +13,7 @@
 func TestMessagesComeBackWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sent := message{
-			kind:        kind(rapid.Uint8Range(1, 4).Draw(t, "kind")),
+			kind:        kind(rapid.Uint8Range(1, uint8(kindUnreachable)).Draw(t, "kind")),
 			incarnation: rapid.Uint64().Draw(t, "incarnation"),
 			id:          shelfshelf.PlaceID(rapid.Uint64().Draw(t, "id")),
 			ask: shelfshelf.PlaceAsk{
@@ -26,6 +26,7 @@
 			},
 			outcome:  shelfshelf.PlaceGranted,
 			requests: rapid.IntRange(0, 99).Draw(t, "requests"),
+			rest:     time.Duration(rapid.IntRange(0, 1e4).Draw(t, "rest")) * time.Millisecond,
 			held: rapid.MapOfN(rapid.Custom(func(t *rapid.T) shelfshelf.PlaceID {
 				return shelfshelf.PlaceID(rapid.Uint64().Draw(t, "held"))
 			}), rapid.Just(shelfshelf.TargetKey(3)), 1, 9).Draw(t, "list"),
