--- a/balance/shares.go
+++ b/balance/shares.go
@@ -1,11 +1,11 @@
 package balance
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/decay"
 )
 
 const (
@@ -23,54 +23,34 @@
 	shareMargin = 0.03
 )
 
-// tierShare counts one tier's requests lately; both figures decay.
-type tierShare struct {
-	offered float64
-	served  float64
-	at      time.Time
-}
-
-// decay brings the counts up to now.
-func (s *tierShare) decay(now time.Time) {
-	if s.at.IsZero() {
-		s.at = now
-		return
-	}
-	keep := math.Exp2(-float64(now.Sub(s.at)) / float64(sharesHalfLife))
-	s.offered *= keep
-	s.served *= keep
-	s.at = now
-}
-
-// share returns the served part; 1 where there were too few to tell.
-func (s *tierShare) share() float64 {
-	if s.offered < leastOffered || s.offered-s.served < leastRefused {
+// servedShare returns the served part of a tier's requests lately; 1 where there were too
+// few to tell.
+func servedShare(s *decay.Share, now time.Time) float64 {
+	s.Fade(now, sharesHalfLife)
+	if s.Offered < leastOffered || s.Offered-s.Served < leastRefused {
 		return 1
 	}
-	return s.served / s.offered
+	return s.Served / s.Offered
 }
 
 // shares is how well each tier of a pool was served lately, without what was refused to
 // even them out.
 type shares struct {
-	tiers map[shelfshelf.Tier]*tierShare
+	tiers map[shelfshelf.Tier]*decay.Share
 }
 
 // note counts one request that was given a place or refused.
 func (s *shares) note(tier shelfshelf.Tier, served bool, now time.Time) {
 	if s.tiers == nil {
-		s.tiers = make(map[shelfshelf.Tier]*tierShare)
+		s.tiers = make(map[shelfshelf.Tier]*decay.Share)
 	}
 	t := s.tiers[tier]
 	if t == nil {
-		t = &tierShare{}
+		t = &decay.Share{}
 		s.tiers[tier] = t
 	}
-	t.decay(now)
-	t.offered++
-	if served {
-		t.served++
-	}
+	t.Fade(now, sharesHalfLife)
+	t.Note(served)
 }
 
 // admitted returns the part of a tier's requests that may look for a place, so that
@@ -80,14 +60,12 @@
 	above := 1.0
 	for other, t := range s.tiers {
 		if other < tier {
-			t.decay(now)
-			above = min(above, t.share()*s.admitted(other, now))
+			above = min(above, servedShare(t, now)*s.admitted(other, now))
 		}
 	}
 	own := 1.0
 	if t := s.tiers[tier]; t != nil {
-		t.decay(now)
-		own = t.share()
+		own = servedShare(t, now)
 	}
 	if own <= above+shareMargin {
 		return 1
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -259,7 +259,7 @@
 // apply puts a newer configuration in force and confirms the one in force; nil
 // means that the source has no other than the one in force.
 func (c *Catalog) apply(configuration *shelfshelf.Configuration, at time.Time, from string) {
-	if configuration == nil || !c.newer(configuration.Revision) {
+	if configuration == nil || !c.Lacks(configuration.Revision) {
 		c.confirm(configuration, at)
 		return
 	}
@@ -280,8 +280,8 @@
 	c.notify()
 }
 
-// newer reports that a revision is newer than the one in force.
-func (c *Catalog) newer(revision shelfshelf.Revision) bool {
+// Lacks reports that a revision is newer than the one in force.
+func (c *Catalog) Lacks(revision shelfshelf.Revision) bool {
 	index, _ := c.Index()
 	return index == nil || revision > index.Revision
 }
--- /dev/null
+++ b/decay/doc.go
@@ -0,0 +1,3 @@
+// Package decay keeps counts that fade with time, so that what happened lately weighs
+// most.
+package decay
--- a/parts/split.go
+++ b/parts/split.go
@@ -1,6 +1,10 @@
 package parts
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// leastSize and mostSize bound a part, in bytes.
@@ -10,8 +14,6 @@
 	// A change costs one or two parts of 5 KB and the list of them, 16 bytes each: for
 	// 0.8 MB, 2.5 KB.
 	boundaryMask uint64 = 0xfff << 52
-	// gearSeed is any number: all instances have to cut alike.
-	gearSeed uint64 = 0x9e3779b97f4a7c15
 )
 
 // ID names a part by its content.
@@ -23,26 +25,17 @@
 	Content []byte
 }
 
-// gear has a random number for each value of a byte.
+// gear has a number for each value of a byte; all instances have to cut alike.
 var gear = newGear()
 
 func newGear() [256]uint64 {
 	var table [256]uint64
-	state := gearSeed
 	for i := range table {
-		state += gearSeed
-		table[i] = mix(state)
+		table[i] = xxhash.Sum64([]byte{byte(i)})
 	}
 	return table
 }
 
-// mix spreads the bits of a number (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // Split cuts a text into parts, which share its memory.
 func Split(text []byte) []Part {
 	var list []Part
--- a/places/lengths.go
+++ b/places/lengths.go
@@ -1,11 +1,11 @@
 package places
 
 import (
-	"math"
 	"math/bits"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/decay"
 )
 
 const (
@@ -31,21 +31,7 @@
 // lengths is how often asks of each length, in octaves of their stay, were served lately
 // at an engine or at another one that they asked as well.
 type lengths struct {
-	groups map[group]map[int]*lengthShare
-}
-
-// lengthShare counts asks; both figures decay.
-type lengthShare struct {
-	asked  float64
-	served float64
-	at     time.Time
-}
-
-func (s *lengthShare) decay(now time.Time) {
-	keep := math.Exp2(-float64(now.Sub(s.at)) / float64(lengthsHalfLife))
-	s.asked *= keep
-	s.served *= keep
-	s.at = now
+	groups map[group]map[int]*decay.Share
 }
 
 func groupOf(ask shelfshelf.PlaceAsk) group {
@@ -63,23 +49,20 @@
 		return
 	}
 	if l.groups == nil {
-		l.groups = make(map[group]map[int]*lengthShare)
+		l.groups = make(map[group]map[int]*decay.Share)
 	}
 	octaves := l.groups[groupOf(ask)]
 	if octaves == nil {
-		octaves = make(map[int]*lengthShare)
+		octaves = make(map[int]*decay.Share)
 		l.groups[groupOf(ask)] = octaves
 	}
 	share := octaves[octave(ask)]
 	if share == nil {
-		share = &lengthShare{at: now}
+		share = &decay.Share{}
 		octaves[octave(ask)] = share
 	}
-	share.decay(now)
-	share.asked++
-	if served {
-		share.served++
-	}
+	share.Fade(now, lengthsHalfLife)
+	share.Note(served)
 }
 
 // next returns which ask of a line has its turn: the first, unless asks of another length
@@ -91,23 +74,23 @@
 	if first.Begun || len(octaves) == 0 {
 		return 0
 	}
-	var all lengthShare
+	var all decay.Share
 	for _, share := range octaves {
-		share.decay(now)
-		all.asked += share.asked
-		all.served += share.served
+		share.Fade(now, lengthsHalfLife)
+		all.Offered += share.Offered
+		all.Served += share.Served
 	}
-	least := evenShare * all.served / max(all.asked, leastAsked)
+	least := evenShare * all.Served / max(all.Offered, leastAsked)
 	next := 0
 	for i, w := range line {
 		if w.ask.Begun != first.Begun || groupOf(w.ask) != groupOf(first) {
 			break
 		}
 		share := octaves[octave(w.ask)]
-		if share == nil || share.asked < leastAsked {
+		if share == nil || share.Offered < leastAsked {
 			continue
 		}
-		if served := share.served / share.asked; served < least {
+		if served := share.Served / share.Offered; served < least {
 			next, least = i, served
 		}
 	}
--- a/places/owner.go
+++ b/places/owner.go
@@ -1,6 +1,7 @@
 package places
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -45,20 +46,18 @@
 		if c.passedOver(candidate.Address, now) {
 			continue
 		}
-		if score := mix(candidate.Hash ^ uint64(target)); !best.Address.IsValid() || score > bestScore {
-			best, bestScore = candidate, score
+		if ranked := score(candidate, target); !best.Address.IsValid() || ranked > bestScore {
+			best, bestScore = candidate, ranked
 		}
 	}
 	return best.Address, best.Address.IsValid()
 }
 
-// mix spreads the bits of a key over all of the result (the finalizer of SplitMix64).
-func mix(key uint64) uint64 {
-	key ^= key >> 30
-	key *= 0xbf58476d1ce4e5b9
-	key ^= key >> 27
-	key *= 0x94d049bb133111eb
-	return key ^ key>>31
+// score ranks a candidate for an engine; the highest owns it.
+func score(candidate Candidate, target shelfshelf.TargetKey) uint64 {
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], candidate.Hash^uint64(target))
+	return xxhash.Sum64(key[:])
 }
 
 // silence is the time since the first ask that an owner has not answered, without an
--- a/relay/configuration.go
+++ b/relay/configuration.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	at := e.began.Add(-m.age)
-	if !r.behind(m.revision) {
+	if !r.Catalog.Lacks(m.revision) {
 		r.Catalog.Confirm(m.revision, at)
 		return nil
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -113,12 +113,11 @@
 	if r.Catalog.HeardOf(status.Revision) {
 		r.Log.Info("A newer configuration is known of.", "revision", status.Revision, "from", status.From.ID)
 	}
-	index, _ := r.Catalog.Index()
 	switch {
 	case status.Revision == 0:
-	case index == nil || status.Revision > index.Revision:
-		leave(r.configurations, offer{status.From.Address, func() bool { return r.behind(status.Revision) }})
-	case status.Revision == index.Revision && !at.IsZero():
+	case r.Catalog.Lacks(status.Revision):
+		leave(r.configurations, offer{status.From.Address, func() bool { return r.Catalog.Lacks(status.Revision) }})
+	case !at.IsZero():
 		r.Catalog.Confirm(status.Revision, at.Add(-status.RevisionAge))
 	}
 	version, _ := r.Catalog.TargetsKnown()
@@ -133,12 +132,6 @@
 	}
 }
 
-// behind reports that a revision is newer than the one in force.
-func (r *Relay) behind(revision shelfshelf.Revision) bool {
-	index, _ := r.Catalog.Index()
-	return index == nil || revision > index.Revision
-}
-
 // leave leaves an offer, unless one waits already.
 func leave(offers chan offer, o offer) {
 	select {
