Readers of changes don't look 20 times a second whether they are needed

Debt of the change before: each read of the store was watched every 50 ms for being no longer needed, also the reads that only wait for changes on behalf of others, which nobody ends; and both loops took the cause apart for themselves. A read ends early only where it brings the whole or stands in for silent readers, and the error says so.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -147,10 +147,12 @@
 // followConfiguration reads once and returns the cursor of the next read.
 func (c *Catalog) followConfiguration(ctx context.Context, follower *follower, cursor uint64, wait time.Duration) uint64 {
 	began := c.Clock.Now()
-	read, end := c.whileNeeded(ctx, c.configurationKnown, 0)
-	defer end()
-	update, err := c.readConfiguration(read, cursor, wait)
-	if err != nil && errors.Is(context.Cause(read), errNotNeeded) {
+	var update shelfshelf.ConfigurationUpdate
+	err := c.whileNeeded(ctx, cursor, c.configurationKnown, 0, func(ctx context.Context) (err error) {
+		update, err = c.readConfiguration(ctx, cursor, wait)
+		return err
+	})
+	if errors.Is(err, errNotNeeded) {
 		return cursor
 	}
 	if !follower.settle(ctx, err) {
@@ -208,13 +210,21 @@
 	return limit == 0 || c.Clock.Now().Sub(at) >= limit+slack
 }
 
-// whileNeeded returns a context for one read, which ends with errNotNeeded as soon as
-// another instance has told what the read is to bring: on a narrow link a read of the
-// whole takes seconds, and all else that goes over it waits meanwhile.
-func (c *Catalog) whileNeeded(ctx context.Context, known func() time.Time, slack time.Duration) (context.Context, context.CancelFunc) {
-	read, cancel := context.WithCancelCause(ctx)
-	go c.runWhileNeeded(read, cancel, known, slack)
-	return read, func() { cancel(nil) }
+// whileNeeded reads, and ends with errNotNeeded as soon as another instance has told what
+// the read is to bring: on a narrow link a read of the whole takes seconds, and all else
+// that goes over it waits meanwhile. Who reads changes for the others is told by nobody.
+func (c *Catalog) whileNeeded(ctx context.Context, cursor uint64, known func() time.Time, slack time.Duration, read func(context.Context) error) error {
+	if cursor > 0 && !c.takesOver() {
+		return read(ctx)
+	}
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go c.runWhileNeeded(bounded, cancel, known, slack)
+	err := read(bounded)
+	if err != nil && errors.Is(context.Cause(bounded), errNotNeeded) {
+		return errNotNeeded
+	}
+	return err
 }
 
 func (c *Catalog) runWhileNeeded(ctx context.Context, cancel context.CancelCauseFunc, known func() time.Time, slack time.Duration) {
--- a/catalog/targets.go
+++ b/catalog/targets.go
@@ -17,11 +17,12 @@
 	var cursor uint64
 	for c.due(ctx, c.targetsKnown, targetsSlack) {
 		began := c.Clock.Now()
-		read, end := c.whileNeeded(ctx, c.targetsKnown, targetsSlack)
-		update, err := c.readTargets(read, cursor)
-		told := err != nil && errors.Is(context.Cause(read), errNotNeeded)
-		end()
-		if told {
+		var update shelfshelf.TargetsUpdate
+		err := c.whileNeeded(ctx, cursor, c.targetsKnown, targetsSlack, func(ctx context.Context) (err error) {
+			update, err = c.readTargets(ctx, cursor)
+			return err
+		})
+		if errors.Is(err, errNotNeeded) {
 			continue
 		}
 		if !follower.settle(ctx, err) {
