Data centres hear each other from the first second of a restart on

Cause: instances exchange digests with the other data centres in turn, each after as many periods as its data centre has instances. After a restart of all, all of them began their turn at the same moment: each data centre told the others once, and then for 4 s (48 instances) nobody. After 1 s each took the others for lost and let through 0.17 of customers' limits.

Ruled out: the saved use (recalled by all within 0.1 s, 28 to 568 ms old); the customer that sends five times its usual (refused at 0.9 and more of its limit); limits before the kill (0.94 to 1.03 of it).

Change: an instance begins at a random point of its turn.

Figures: least part of the instances heard from 0.4 to 5 s after a restart of 300 (simulated): 0.17 before, 1.00 now; of 30: 1.00 and 1.00 (node: TestDataCentresHearEachOtherAfterRestarts).

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -281,26 +281,46 @@
 }
 
 // loopExchange exchanges digests with the other data centres, in turn with the
-// others of this one.
+// others of this one. Instances that started together begin at any point of their turn:
+// with the first one after a whole turn, all 48 of a data centre told the others at the
+// same moment and then for 4 s nobody, so that each data centre let through a sixth of
+// customers' limits.
 func (n *Node) loopExchange(ctx context.Context) error {
-	for {
-		n.mu.Lock()
-		here := 1
-		for _, p := range n.peers {
-			if n.local(p.instance) && !p.silent {
-				here++
-			}
+	began := false
+	for ctx.Err() == nil {
+		turn, met := n.exchangeTurn()
+		pause := jitter(turn)
+		switch {
+		case !met:
+			pause = exchangePeriod
+		case !began:
+			began = true
+			pause = time.Duration(rand.Float64() * float64(turn))
 		}
-		n.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-n.Clock.After(jitter(time.Duration(here) * exchangePeriod)):
+		case <-n.Clock.After(pause):
 		}
 		for _, id := range n.pickRemotes() {
 			n.sendDigest(kindAsk, id)
 		}
 	}
+	return nil
+}
+
+// exchangeTurn returns how often this instance exchanges digests, and whether any other
+// instance of its data centre has been heard: until then it doesn't know how many there are.
+func (n *Node) exchangeTurn() (turn time.Duration, met bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	here := 1
+	for _, p := range n.peers {
+		if n.local(p.instance) && !p.silent {
+			here++
+			met = met || p.heardBefore
+		}
+	}
+	return time.Duration(here) * exchangePeriod, met
 }
 
 // pickRemotes picks one instance of each other data centre, if possible one that
--- a/node/size_test.go
+++ b/node/size_test.go
@@ -48,6 +48,8 @@
 	ended    sync.WaitGroup
 	closers  []func()
 	ready    []string
+	// instances are all that were started.
+	instances []*node.Node
 }
 
 // playLarge starts so many instances at once, all of them listed in the directory as after
@@ -154,6 +156,7 @@
 		Sockets: machine,
 	}
 	l.ready = append(l.ready, machineOf(i)+":81")
+	l.instances = append(l.instances, instance)
 	l.ended.Go(func() {
 		if err := instance.Run(l.ctx); err != nil && l.ctx.Err() == nil {
 			l.t.Error(err)
@@ -245,3 +248,30 @@
 		})
 	}
 }
+
+// After a restart of all, data centres hear each other as often as in calm. Instances that
+// started together exchanged digests at the same moments, every 4 s where a data centre has
+// 48, so that after 1 s each took the others for lost and let through a sixth of customers'
+// limits: 17,000 of 50,000 requests of a day on which all were killed twice were refused.
+func TestDataCentresHearEachOtherAfterRestarts(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{30, 300} {
+		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
+			t.Parallel()
+			playLarge(t, count, false, func(l *large) {
+				l.untilReady(3 * time.Second)
+				least := 1.0
+				for time.Sleep(400 * time.Millisecond); l.clock.Now().Sub(l.began) < 5*time.Second; time.Sleep(100 * time.Millisecond) {
+					for _, instance := range l.instances {
+						known, heard := node.Census(instance)
+						least = min(least, float64(heard)/float64(known))
+					}
+				}
+				t.Logf("at least %.2f of the instances are heard", least)
+				if least < 0.99 {
+					t.Errorf("%.2f of the instances are heard", least)
+				}
+			})
+		})
+	}
+}
