Instances sleep while nothing is to be done

An instance woke some 400 times a second, 160 of them by timers that found nothing: waiting requests (100), two looks at who reads the store (40), kept targets (10), the saved use (5).

Change: the balancer's loop sleeps while nobody waits without an owner, kept targets' while there are none, an instance that doesn't read sleeps until what it knows would be too old (250 ms at most, so that it takes over), and one that doesn't save the use looks once a second.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -83,6 +83,8 @@
 	view       view
 	// observations are those since the last status.
 	observations []shelfshelf.TargetSpeed
+	// waking wakes the loop that tries waiting requests again.
+	waking chan struct{}
 	// waitingOwned counts the requests that stand in lines of owners.
 	waitingOwned atomic.Int64
 }
@@ -195,6 +197,7 @@
 	}
 	w := &waiter{need: need, lease: make(chan *Lease, 1)}
 	p.insert(w)
+	b.wake()
 	b.mu.Unlock()
 	return b.wait(ctx, w)
 }
--- a/balance/line.go
+++ b/balance/line.go
@@ -71,6 +71,32 @@
 	p.line = slices.Insert(p.line, at, w)
 }
 
+// wake starts the loop that tries waiting requests again; the lock is held.
+func (b *Balancer) wake() {
+	select {
+	case b.woken() <- struct{}{}:
+	default:
+	}
+}
+
+// woken returns the channel that wakes the loop; the lock is held.
+func (b *Balancer) woken() chan struct{} {
+	if b.waking == nil {
+		b.waking = make(chan struct{}, 1)
+	}
+	return b.waking
+}
+
+// waitsAlone reports that a request waits that no owner gives a place; the lock is held.
+func (b *Balancer) waitsAlone() bool {
+	for _, p := range b.pools {
+		if len(p.line) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *pool) remove(w *waiter) {
 	if at := slices.Index(p.line, w); at >= 0 {
 		p.line = slices.Delete(p.line, at, at+1)
@@ -113,15 +139,32 @@
 	return b.loopPump(ctx)
 }
 
+// loopPump sleeps while nobody waits: with a timer all the time, 295 idle instances woke
+// 29,500 times a second.
 func (b *Balancer) loopPump(ctx context.Context) error {
-	for {
+	b.mu.Lock()
+	woken := b.woken()
+	b.mu.Unlock()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-woken:
+			b.pumpWhileWaiting(ctx)
+		}
+	}
+	return nil
+}
+
+func (b *Balancer) pumpWhileWaiting(ctx context.Context) {
+	for waits := true; waits; {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-b.Clock.After(pumpPeriod):
 		}
 		b.mu.Lock()
 		b.pumpAll(b.Clock.Now())
+		waits = b.waitsAlone()
 		b.mu.Unlock()
 	}
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -21,10 +21,14 @@
 	targetsPeriod = 3 * time.Second
 	// targetsSlack is how much older knowledge of targets gets for that.
 	targetsSlack = 2 * (targetsPeriod - defaultConfirmPeriod)
-	// followPause is how often an instance that doesn't read the source looks whether
-	// it has to, and beginPause the same while it knows nothing and can serve nobody.
+	// followPause is how often a read that stands in for silent readers looks whether it
+	// is still needed, and beginPause how often an instance that knows nothing, and can
+	// serve nobody, looks whether it has to read.
 	followPause = 50 * time.Millisecond
 	beginPause  = 10 * time.Millisecond
+	// leadPause is how often an instance that doesn't read looks whether it has to lead: one
+	// that has taken over reads that much later.
+	leadPause = 250 * time.Millisecond
 	// firstPause and lastPause bound the pause between reads that fail.
 	firstPause = 40 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
@@ -63,6 +67,8 @@
 	// vanished holds targets that the source lost during an outage, and until when
 	// they are kept.
 	vanished map[shelfshelf.TargetName]time.Time
+	// vanishes tells the loop that drops them of new ones.
+	vanishes chan struct{}
 	// configurationAt and targetsAt are up to when the knowledge is known to hold.
 	configurationAt time.Time
 	targetsAt       time.Time
@@ -179,21 +185,27 @@
 // what it hears from the others is too old. It returns false at the context's end.
 func (c *Catalog) due(ctx context.Context, known func() time.Time, slack time.Duration) bool {
 	for ctx.Err() == nil {
-		pause := followPause
-		if known().IsZero() {
-			pause = beginPause
-		}
 		if c.needed(known, slack) && c.mayBegin(known) {
 			return true
 		}
 		select {
 		case <-ctx.Done():
-		case <-c.Clock.After(pause):
+		case <-c.Clock.After(c.untilDue(known(), slack)):
 		}
 	}
 	return false
 }
 
+// untilDue returns how long an instance that doesn't read may sleep. Looking every 50 ms,
+// twice, 295 instances woke 11,800 times a second for nothing.
+func (c *Catalog) untilDue(at time.Time, slack time.Duration) time.Duration {
+	if at.IsZero() {
+		return beginPause
+	}
+	left := c.Follow() + slack - c.Clock.Now().Sub(at)
+	return min(max(left, beginPause), leadPause)
+}
+
 // mayBegin reports that a read may begin: where nothing is known yet, another instance may
 // be about to tell.
 func (c *Catalog) mayBegin(known func() time.Time) bool {
--- a/catalog/targets.go
+++ b/catalog/targets.go
@@ -111,7 +111,7 @@
 	}
 	if now.Before(until) {
 		_, marked := c.vanished[name]
-		c.vanished[name] = until
+		c.keepVanished(name, until)
 		return !marked
 	}
 	delete(c.targets, name)
@@ -120,13 +120,22 @@
 }
 
 // loopExpiry drops vanished targets when their time is over: the source says nothing
-// more of them.
+// more of them. It sleeps while there are none.
 func (c *Catalog) loopExpiry(ctx context.Context) error {
 	for {
+		c.mu.Lock()
+		changed := c.vanishing()
+		var next <-chan time.Time
+		if len(c.vanished) > 0 {
+			next = c.Clock.After(expiryPeriod)
+		}
+		c.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-c.Clock.After(expiryPeriod):
+		case <-changed:
+			continue
+		case <-next:
 		}
 		if dropped := c.dropExpired(); len(dropped) > 0 {
 			c.Log.Info("Targets that vanished in an outage have not come back.", "dropped", dropped)
@@ -135,6 +144,23 @@
 	}
 }
 
+// vanishing returns the channel that tells of vanished targets; the lock is held.
+func (c *Catalog) vanishing() chan struct{} {
+	if c.vanishes == nil {
+		c.vanishes = make(chan struct{}, 1)
+	}
+	return c.vanishes
+}
+
+// keepVanished keeps a target for a moment that the source has lost; the lock is held.
+func (c *Catalog) keepVanished(name shelfshelf.TargetName, until time.Time) {
+	c.vanished[name] = until
+	select {
+	case c.vanishing() <- struct{}{}:
+	default:
+	}
+}
+
 func (c *Catalog) dropExpired() []shelfshelf.TargetName {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -164,7 +190,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, until := range snapshot.KeptUntil {
-		c.vanished[name] = until
+		c.keepVanished(name, until)
 	}
 }
 
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -73,14 +73,20 @@
 
 func (k *Keeper) loop(ctx context.Context) error {
 	saved := k.Clock.Now()
+	due := false
 	for {
+		pause := savePeriod
+		if due {
+			pause = lookPeriod
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-k.Clock.After(lookPeriod):
+		case <-k.Clock.After(pause):
 		}
 		now := k.Clock.Now()
-		if now.Sub(saved) < savePeriod && k.Ledger.Growth(saved) < urgentShare || !k.Due() {
+		due = k.Due()
+		if !due || now.Sub(saved) < savePeriod && k.Ledger.Growth(saved) < urgentShare {
 			continue
 		}
 		saved = now
