All instances agree on who owns an engine

Cause: who may own the engines of another data centre was what an instance happened to know of that data centre's instances: at a first start the directory as far as it was written when it was read, later those that had asked it, and for good those that had gone. With several owners an engine has several books.

Ruled out: places taken without an owner (0 to 0.01 of requests); speeds learnt wrongly (the time is the engine's queue).

Change: a data centre's digest names its instances that are heard and stay; who asks for a place goes by that, and in a large data centre its own instances by the sums. What else is known serves until a digest has come.

Figures (simulated first start, 6 s): opinions on the owners of a data centre's engines at 30 and 300 instances: 3 and 163 before, 1 and 1 now (node: TestInstancesAgreeOnOwners).

--- a/balance/target.go
+++ b/balance/target.go
@@ -153,7 +153,7 @@
 // centreLoad returns what the instances of this data centre have in flight.
 func (t *targetState) centreLoad(now time.Time) load {
 	if !t.centre.at.IsZero() && now.Sub(t.centre.at) < toldLoadKept {
-		return t.own.plus(t.centre.load.less(t.ownTold))
+		return t.own.plus(t.centre.less(t.ownTold))
 	}
 	sum := t.own
 	for _, told := range t.peers {
--- a/gossip/aggregate.go
+++ b/gossip/aggregate.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shelfshelf/shelfshelf"
 )
 
@@ -20,6 +22,13 @@
 	// sparsePerInstance times the instances of the data centre is the pause between two
 	// statuses of two others: an instance hears some 50 of them a second at any size.
 	sparsePerInstance = 20 * time.Millisecond
+	// tellPause is the least time between two times that the digest of another data centre
+	// is told to all of a large one: 48 instances x 5 digests of 3 KB every 250 ms would be
+	// 23 Mbit/s.
+	tellPause = 400 * time.Millisecond
+	// membersKept is how long a data centre's word on its instances counts: what is known
+	// of them otherwise may be far older.
+	membersKept = 5 * time.Second
 	// silentPauses is how many pauses between statuses an instance may be silent and
 	// still count as heard, at least SilentAfter.
 	silentPauses = 3
@@ -97,7 +106,65 @@
 	digest := n.Handler.Digest()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.describe(&digest, n.Clock.Now())
+	return digest, true
+}
+
+// describe fills in which data centre a digest is of, and its instances; the lock is held.
+func (n *Node) describe(digest *shelfshelf.Digest, now time.Time) {
 	digest.DataCentre = n.Self.DataCentre
 	digest.Instances = n.countLocal()
-	return digest, true
+	digest.Members = n.members(now)
+}
+
+// members returns the instances of this data centre that are heard and stay, this one
+// included; the lock is held.
+func (n *Node) members(now time.Time) []shelfshelf.Member {
+	var members []shelfshelf.Member
+	if !n.leaving {
+		members = append(members, n.self)
+	}
+	for _, p := range n.peers {
+		stays := p.instance.State != shelfshelf.InstanceLeaving && p.address.IsValid()
+		if n.local(p.instance) && stays && n.fresh(p, now) {
+			members = append(members, p.member())
+		}
+	}
+	return members
+}
+
+// Members returns the instances of a data centre that may own engines. All instances have
+// to agree on them, or an engine has two owners that don't know of each other's requests:
+// for another data centre, and in a large one, its own word goes before what this instance
+// has come to know of it.
+func (n *Node) Members(centre shelfshelf.DataCentre) []shelfshelf.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	told := n.centres[centre]
+	heard := told != nil && now.Sub(told.at) < membersKept && len(told.digest.Members) > 0
+	own := centre == n.Self.DataCentre
+	if heard && (!own || n.sparse() && !n.aggregates(n.Self.ID)) {
+		return told.digest.Members
+	}
+	if own {
+		return n.members(now)
+	}
+	var members []shelfshelf.Member
+	for _, p := range n.peers {
+		if p.instance.DataCentre == centre && p.address.IsValid() && p.unanswered < suspectAfter {
+			members = append(members, p.member())
+		}
+	}
+	return members
+}
+
+// member returns a peer as a member of its data centre.
+func (p *peerState) member() shelfshelf.Member {
+	if p.hash == 0 {
+		p.hash = hashOf(p.instance.ID)
+	}
+	return shelfshelf.Member{Hash: p.hash, Address: p.address}
 }
+
+func hashOf(id shelfshelf.InstanceID) uint64 { return xxhash.Sum64String(string(id)) }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -82,6 +82,8 @@
 	centres  map[shelfshelf.DataCentre]*centreState
 	sequence uint64
 	leaving  bool
+	// self is this instance as a member of its data centre.
+	self shelfshelf.Member
 	// locals counts the other instances of this data centre, and first are those that tell
 	// its sums.
 	locals int
@@ -110,6 +112,9 @@
 	n.start = n.Clock.Now()
 	n.peers = make(map[shelfshelf.InstanceID]*peerState)
 	n.centres = make(map[shelfshelf.DataCentre]*centreState)
+	if address, err := netip.ParseAddrPort(n.Self.Address); err == nil {
+		n.self = shelfshelf.Member{Hash: hashOf(n.Self.ID), Address: address}
+	}
 }
 
 // Kick sends the next status at once, as after a change that others wait for.
@@ -191,8 +196,7 @@
 	}
 	var fresh []shelfshelf.Digest
 	for _, digest := range m.status.Digests {
-		sums := digest.DataCentre == n.Self.DataCentre && !n.aggregates(n.Self.ID)
-		if sums || n.takeDigest(digest, now, m.kind != kindStatus) {
+		if n.takeDigest(digest, now, m.kind != kindStatus) {
 			fresh = append(fresh, digest)
 		}
 	}
@@ -406,8 +410,7 @@
 		p.unanswered++
 	}
 	n.identify(&status)
-	digest.DataCentre = n.Self.DataCentre
-	digest.Instances = n.countLocal()
+	n.describe(&digest, now)
 	status.Digests = []shelfshelf.Digest{digest}
 	messages, addresses := n.address(k, status, []*peerState{p}, now)
 	n.mu.Unlock()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -49,6 +50,9 @@
 				Speeds:         []shelfshelf.TargetSpeed{{Target: 9, PrefillRate: 12.5, Step: 4 * time.Millisecond}},
 				Digests: []shelfshelf.Digest{{
 					DataCentre: "y", Age: time.Second, Instances: 3, Loads: loads,
+					Members: []shelfshelf.Member{{
+						Hash: rapid.Uint64().Draw(t, "hash"), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 2, 3}), uint16(rapid.Uint16().Draw(t, "port"))),
+					}},
 					Uses: []shelfshelf.CustomerUse{{Customer: 7, Amount: 12}}, Speeds: []shelfshelf.TargetSpeed{},
 				}},
 			},
@@ -62,7 +66,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if diff := cmp.Diff(sent, got, cmp.AllowUnexported(message{})); diff != "" {
+		if diff := cmp.Diff(sent, got, cmp.AllowUnexported(message{}), cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
 			t.Fatal(diff)
 		}
 	})
@@ -251,6 +255,9 @@
 		digest.Loads = append(digest.Loads, shelfshelf.TargetLoad{Target: key, Requests: 1000, Prefilling: 300, PrefillTokens: 1 << 20})
 		digest.Speeds = append(digest.Speeds, shelfshelf.TargetSpeed{Target: key, PrefillRate: 10000, Step: 90 * time.Millisecond})
 	}
+	for range 60 {
+		digest.Members = append(digest.Members, shelfshelf.Member{Hash: math.MaxUint64, Address: netip.MustParseAddrPort("[2001:db8::1]:65000")})
+	}
 	for i := range customers {
 		digest.Uses = append(digest.Uses, shelfshelf.CustomerUse{Customer: shelfshelf.CustomerKey(math.MaxUint32 - i), Amount: 1 << 40})
 	}
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -18,8 +18,10 @@
 
 // peerState is what is known of another instance.
 type peerState struct {
-	instance    shelfshelf.Instance
-	address     netip.AddrPort
+	instance shelfshelf.Instance
+	address  netip.AddrPort
+	// hash is drawn from the name; 0 until it is asked for.
+	hash        uint64
 	incarnation uint64
 	sequence    uint64
 	// stamp is the sender's clock in its latest message.
@@ -49,6 +51,8 @@
 	at     time.Time
 	digest shelfshelf.Digest
 	untold bool
+	// toldAt is when it was passed on last.
+	toldAt time.Time
 }
 
 // take notes a message; it returns false if a newer one is known.
@@ -92,7 +96,8 @@
 // takeDigest notes a digest that is newer than the one known; the lock is held.
 // One that came straight from its data centre is to be passed on.
 func (n *Node) takeDigest(digest shelfshelf.Digest, now time.Time, direct bool) bool {
-	if digest.DataCentre == n.Self.DataCentre {
+	own := digest.DataCentre == n.Self.DataCentre
+	if own && n.aggregates(n.Self.ID) {
 		return false
 	}
 	c := n.centres[digest.DataCentre]
@@ -106,7 +111,7 @@
 	}
 	c.at = at
 	c.digest = digest
-	c.untold = direct
+	c.untold = direct && !own
 	return true
 }
 
@@ -117,10 +122,12 @@
 	var digests []shelfshelf.Digest
 	for _, c := range n.centres {
 		size := digestSize(c.digest)
-		if !c.untold || len(digests) > 0 && size > room {
+		early := n.sparse() && now.Sub(c.toldAt) < tellPause
+		if !c.untold || early || len(digests) > 0 && size > room {
 			continue
 		}
 		c.untold = false
+		c.toldAt = now
 		room -= size
 		digest := c.digest
 		digest.Age = now.Sub(c.at)
@@ -327,43 +334,3 @@
 	period := min(max(time.Duration(n.countLocal())*periodPerInstance, shortestPeriod), longestPeriod)
 	return 2*period + exchangePeriod
 }
-
-// Reachable returns the instances of a data centre that are likely to answer, without
-// this one: those that are heard and not about to stop.
-func (n *Node) Reachable(centre shelfshelf.DataCentre) []Reachable {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.Clock.Now()
-	var list []Reachable
-	for id, p := range n.peers {
-		if p.instance.DataCentre != centre || p.instance.State == shelfshelf.InstanceLeaving || !p.address.IsValid() {
-			continue
-		}
-		if n.answers(p, now) {
-			list = append(list, Reachable{ID: id, Address: p.address})
-		}
-	}
-	return list
-}
-
-// Reachable is an instance and where it takes messages.
-type Reachable struct {
-	ID      shelfshelf.InstanceID
-	Address netip.AddrPort
-}
-
-// answers reports that an instance is likely to answer; the lock is held. Those of
-// this data centre say something all the time, others only when they are asked.
-func (n *Node) answers(p *peerState, now time.Time) bool {
-	if n.local(p.instance) {
-		return n.fresh(p, now)
-	}
-	return p.unanswered < suspectAfter
-}
-
-// Leaving reports that this instance has said that it stops.
-func (n *Node) Leaving() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.leaving
-}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,9 +18,13 @@
 	loadSize   = 17
 	useSize    = 15
 	speedSize  = 16
+	memberSize = 32
 	framesSize = 400
 )
 
+// portBytes is the size of a port behind an IP.
+const portBytes = 2
+
 // kind tells what a message is for.
 type kind uint8
 
@@ -76,10 +81,16 @@
 		Age        int64
 		Instances  int
 		Settled    bool
+		Members    []wireMember
 		Loads      []wireLoad
 		Uses       []wireUse
 		Speeds     []wireSpeed
 	}
+	wireMember struct {
+		_       struct{} `cbor:",toarray"`
+		Hash    uint64
+		Address []byte
+	}
 	wireSpeed struct {
 		_      struct{} `cbor:",toarray"`
 		Target uint32
@@ -108,7 +119,7 @@
 
 // digestSize bounds the size of a digest, in bytes.
 func digestSize(d shelfshelf.Digest) int {
-	return framesSize + loadSize*len(d.Loads) + useSize*len(d.Uses) + speedSize*len(d.Speeds)
+	return framesSize + memberSize*len(d.Members) + loadSize*len(d.Loads) + useSize*len(d.Uses) + speedSize*len(d.Speeds)
 }
 
 func encode(m message) ([]byte, error) {
@@ -144,6 +155,7 @@
 			Age:        int64(digest.Age),
 			Instances:  digest.Instances,
 			Settled:    digest.Settled,
+			Members:    membersToWire(digest.Members),
 			Loads:      loadsToWire(digest.Loads),
 			Uses:       usesToWire(digest.Uses),
 			Speeds:     speedsToWire(digest.Speeds),
@@ -195,6 +207,7 @@
 			Age:        time.Duration(digest.Age),
 			Instances:  digest.Instances,
 			Settled:    digest.Settled,
+			Members:    membersFromWire(digest.Members),
 			Loads:      loadsFromWire(digest.Loads),
 			Uses:       usesFromWire(digest.Uses),
 			Speeds:     speedsFromWire(digest.Speeds),
@@ -203,6 +216,33 @@
 	return m, nil
 }
 
+func membersToWire(members []shelfshelf.Member) []wireMember {
+	wire := make([]wireMember, len(members))
+	for i, member := range members {
+		port := member.Address.Port()
+		wire[i] = wireMember{Hash: member.Hash, Address: append(member.Address.Addr().AsSlice(), byte(port>>8), byte(port))}
+	}
+	return wire
+}
+
+// membersFromWire leaves out members whose addresses can't be read; they own nothing.
+func membersFromWire(wire []wireMember) []shelfshelf.Member {
+	members := make([]shelfshelf.Member, 0, len(wire))
+	for _, member := range wire {
+		size := len(member.Address)
+		if size < portBytes {
+			continue
+		}
+		ip, ok := netip.AddrFromSlice(member.Address[:size-portBytes])
+		if !ok {
+			continue
+		}
+		port := uint16(member.Address[size-2])<<8 | uint16(member.Address[size-1])
+		members = append(members, shelfshelf.Member{Hash: member.Hash, Address: netip.AddrPortFrom(ip, port)})
+	}
+	return members
+}
+
 func loadsToWire(loads []shelfshelf.TargetLoad) []wireLoad {
 	wire := make([]wireLoad, len(loads))
 	for i, load := range loads {
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -1,4 +1,22 @@
 package node
 
+import (
+	"fmt"
+	"slices"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
 // Census returns how many instances one knows and how many of them it hears.
 func Census(n *Node) (known, heard int) { return n.census() }
+
+// Owners returns the instances that one takes for owners of a data centre's engines, in a
+// form that can be compared.
+func Owners(n *Node, centre shelfshelf.DataCentre) string {
+	var owners []string
+	for _, candidate := range n.owners(centre) {
+		owners = append(owners, candidate.Address.String())
+	}
+	slices.Sort(owners)
+	return fmt.Sprint(owners)
+}
--- a/node/places.go
+++ b/node/places.go
@@ -32,12 +32,10 @@
 
 // owners returns the instances of a data centre that may own engines.
 func (n *Node) owners(centre shelfshelf.DataCentre) []places.Candidate {
-	var candidates []places.Candidate
-	for _, instance := range n.gossip.Reachable(centre) {
-		candidates = append(candidates, places.NewCandidate(instance.ID, instance.Address))
-	}
-	if centre == n.Settings.DataCentre && !n.gossip.Leaving() {
-		candidates = append(candidates, places.NewCandidate(n.Settings.Instance, n.places.Self.Address))
+	members := n.gossip.Members(centre)
+	candidates := make([]places.Candidate, len(members))
+	for i, member := range members {
+		candidates[i] = places.Candidate{Hash: member.Hash, Address: member.Address}
 	}
 	return candidates
 }
--- a/node/size_test.go
+++ b/node/size_test.go
@@ -300,3 +300,40 @@
 		})
 	}
 }
+
+// owners returns how many different opinions there are on the owners of a data centre's
+// engines, the most over all data centres.
+func (l *large) owners() int {
+	most := 0
+	for i := range centres {
+		opinions := make(map[string]int)
+		for _, instance := range l.instances {
+			opinions[node.Owners(instance, shelfshelf.DataCentre(centreOf(i)))]++
+		}
+		most = max(most, len(opinions))
+	}
+	return most
+}
+
+// All instances agree on who owns which engine. At its first start each read the directory
+// as far as it was written; who came later was known to those of other data centres only
+// once it had asked them, some minutes later with 295 instances, and who had gone stayed.
+// Meanwhile an engine had several owners, each with its own book: where one counted 4
+// requests, the engine said that it ran 8 and let 6 wait.
+func TestInstancesAgreeOnOwners(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{30, 300} {
+		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
+			t.Parallel()
+			playLarge(t, count, true, func(l *large) {
+				l.untilReady(6 * time.Second)
+				time.Sleep(time.Until(l.began.Add(6 * time.Second)))
+				opinions := l.owners()
+				t.Logf("%d opinions", opinions)
+				if opinions > 1 {
+					t.Errorf("%d opinions on the owners of a data centre's engines", opinions)
+				}
+			})
+		})
+	}
+}
--- a/status.go
+++ b/status.go
@@ -1,6 +1,9 @@
 package shelfshelf
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Status is what one instance tells the others of its data centre, again and
 // again; a newer one replaces an older one whole, so that a lost message does no
@@ -47,12 +50,21 @@
 	Instances int
 	// Settled says that its sender has seen the whole window that limits count in.
 	Settled bool
+	// Members are the instances of the data centre that may own engines.
+	Members []Member
 	Loads   []TargetLoad
 	Uses    []CustomerUse
 	// Speeds are means of what the data centre has observed lately.
 	Speeds []TargetSpeed
 }
 
+// Member is an instance of a data centre that is heard there and stays.
+type Member struct {
+	// Hash is drawn from the instance's name.
+	Hash    uint64
+	Address netip.AddrPort
+}
+
 // TargetKey is a short form of a target's name for messages; see KeyOfTarget.
 type TargetKey uint32
 
