--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -51,7 +51,7 @@
 				Digests: []shelfshelf.Digest{{
 					DataCentre: "y", Age: time.Second, Instances: 3, Loads: loads,
 					Members: []shelfshelf.Member{{
-						Hash: rapid.Uint64().Draw(t, "hash"), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 2, 3}), uint16(rapid.Uint16().Draw(t, "port"))),
+						Hash: rapid.Uint64().Draw(t, "hash"), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 2, 3}), rapid.Uint16().Draw(t, "port")),
 					}},
 					Uses: []shelfshelf.CustomerUse{{Customer: 7, Amount: 12}}, Speeds: []shelfshelf.TargetSpeed{},
 				}},
