--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -408,3 +408,55 @@
 		index.Route("a.example", "/nothing/x")
 	}
 }
+
+// forgetful is a source that drops its history at once, and answers after 4 ms.
+type forgetful struct {
+	*source
+	calls atomic.Int64
+}
+
+func (f *forgetful) call() {
+	f.calls.Add(1)
+	time.Sleep(4 * time.Millisecond)
+}
+
+func (f *forgetful) ReadConfiguration(ctx context.Context) (shelfshelf.ConfigurationUpdate, error) {
+	f.call()
+	return f.source.ReadConfiguration(ctx)
+}
+
+func (f *forgetful) AwaitConfiguration(context.Context, uint64, time.Duration) (shelfshelf.ConfigurationUpdate, error) {
+	f.call()
+	return shelfshelf.ConfigurationUpdate{}, shelfshelf.ErrHistoryGone
+}
+
+func (f *forgetful) ReadTargets(ctx context.Context) (shelfshelf.TargetsUpdate, error) {
+	f.call()
+	return f.source.ReadTargets(ctx)
+}
+
+func (f *forgetful) AwaitTargets(context.Context, uint64, time.Duration) (shelfshelf.TargetsUpdate, error) {
+	f.call()
+	return shelfshelf.TargetsUpdate{}, shelfshelf.ErrHistoryGone
+}
+
+// Where the platform's store dropped its history six times a second for 14 s, the readers
+// of two data centres read the whole and asked for changes in turn without a pause, 5,618
+// calls on one day, and passed for cut off from it.
+func TestLostHistoryCostsFewCalls(t *testing.T) {
+	s := &forgetful{source: &source{revision: 3}}
+	bubbleWith(t, &catalog.Catalog{Source: s}, func(c *catalog.Catalog) {
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if age(c) > 700*time.Millisecond {
+				t.Fatalf("knowledge is %v old", age(c))
+			}
+			if c.SourceLost() {
+				t.Fatal("a source that answers counts as lost")
+			}
+		}
+		if calls := s.calls.Load(); calls > 10*2*2*2+8 {
+			t.Errorf("%d calls in 10 s", calls)
+		}
+	})
+}
