A store that is down is tried by the first three of a data centre

Cause: when the store fails whoever reads it, the next one becomes the first and reads, until all of a data centre try, two reads three times a second each.

Change: once the store fails the first three in the order of a data centre, those go on trying, and any other waits for a random time, 0.1 s times the instances on the mean, before it reads, and doesn't read if it has been told meanwhile. All of them together try ten times a second and read.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -56,6 +57,9 @@
 	// Begin reports that this instance, while it knows nothing yet, is to read the source
 	// itself instead of hearing from another one. Nil means always.
 	Begin func() bool
+	// Pace returns the mean time between two reads of this instance while the source fails
+	// others that read before it; 0 while it doesn't. Nil means never.
+	Pace func() time.Duration
 	// ConfirmPeriod returns how long one read waits for changes of the configuration:
 	// knowledge is confirmed that often, so that its age stays below twice of it. Nil
 	// means a second.
@@ -188,7 +192,7 @@
 // what it hears from the others is too old. It returns false at the context's end.
 func (c *Catalog) due(ctx context.Context, known func() time.Time, slack time.Duration) bool {
 	for ctx.Err() == nil {
-		if c.needed(known, slack) && c.mayBegin(known) {
+		if c.needed(known, slack) && c.mayBegin(known) && c.inTurn(ctx, known, slack) {
 			return true
 		}
 		select {
@@ -209,6 +213,26 @@
 	return min(max(left, beginPause), leadPause)
 }
 
+// inTurn waits for this instance's turn while the source fails others, and reports that a
+// read is still needed then. With all instances trying three times a second, a store that
+// was down for 8 s had 10,000 calls of 295 instances; the first that gets through tells
+// the others.
+func (c *Catalog) inTurn(ctx context.Context, known func() time.Time, slack time.Duration) bool {
+	if c.Pace == nil {
+		return true
+	}
+	pace := c.Pace()
+	if pace == 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.Clock.After(time.Duration(2 * rand.Float64() * float64(pace))):
+	}
+	return c.needed(known, slack)
+}
+
 // mayBegin reports that a read may begin: where nothing is known yet, another instance may
 // be about to tell.
 func (c *Catalog) mayBegin(known func() time.Time) bool {
--- a/gossip/aggregate_test.go
+++ b/gossip/aggregate_test.go
@@ -80,3 +80,32 @@
 		t.Errorf("sums are told by %v", n.first)
 	}
 }
+
+// While the store fails the first instances of a data centre, those go on trying and the
+// others do so rarely.
+func TestOnlyTheFirstTryALostStore(t *testing.T) {
+	t.Parallel()
+	lose := func(n *Node, ids ...shelfshelf.InstanceID) {
+		for _, id := range ids {
+			n.peers[id].sourceLost = true
+		}
+	}
+	last, clock := crowd(47, 10)
+	lose(last, "o00", "o01")
+	if got := last.Pace(); got != 0 {
+		t.Errorf("two are lost: %v", got)
+	}
+	lose(last, "o02")
+	if got := last.Pace(); got != 48*pacePerInstance {
+		t.Errorf("three are lost: %v", got)
+	}
+	clock.Advance(time.Minute)
+	if got := last.Pace(); got != 0 {
+		t.Errorf("those that were lost are not heard any more: %v", got)
+	}
+	third, _ := crowd(47, 98.5)
+	lose(third, "o00", "o01", "o02", "o03", "o04")
+	if got := third.Pace(); got != 0 {
+		t.Errorf("one of the first three waits %v", got)
+	}
+}
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -238,6 +238,37 @@
 	return true
 }
 
+const (
+	// lostProbers is how many instances of a data centre, in their order, go on trying a
+	// store that fails them.
+	lostProbers = 3
+	// pacePerInstance times the instances of the data centre is the mean time between two
+	// tries of any other one: all of them together try ten times a second.
+	pacePerInstance = 100 * time.Millisecond
+)
+
+// Pace returns the mean time between two reads of the store by this instance while it
+// fails the first few of the data centre; 0 while it doesn't, or for one of them.
+func (n *Node) Pace() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	lost, locals := 0, 1
+	for _, p := range n.peers {
+		if !n.local(p.instance) || !n.fresh(p, now) {
+			continue
+		}
+		locals++
+		if p.sourceLost && n.before(p.instance) {
+			lost++
+		}
+	}
+	if lost < lostProbers {
+		return 0
+	}
+	return time.Duration(locals) * pacePerInstance
+}
+
 // before reports that another instance goes before this one where one does something for
 // all: the one with the wider link, and of equal ones the first by name.
 func (n *Node) before(other shelfshelf.Instance) bool {
--- a/node/build.go
+++ b/node/build.go
@@ -20,7 +20,7 @@
 func (n *Node) build() error {
 	n.catalog = &catalog.Catalog{
 		Clock: n.Clock, Log: n.Log.WithPrefix("catalog"), Source: n.Platform.Catalog,
-		Follow: n.follow, Begin: n.readsAtStart, Changed: n.changed,
+		Follow: n.follow, Begin: n.readsAtStart, Pace: n.pace, Changed: n.changed,
 		ConfirmPeriod: func() time.Duration { return n.leaseShare(confirmShare) },
 	}
 	n.balancer = &balance.Balancer{
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -19,6 +19,12 @@
 	return n.leaseShare(firstsFollowShare)
 }
 
+// pace is the mean time between two reads of the store by this instance while the store
+// fails those that go before it.
+func (n *Node) pace() time.Duration {
+	return n.gossip.Pace()
+}
+
 // leads reports that this instance does what one of all has to do.
 func (n *Node) leads() bool {
 	return n.gossip.First() && n.gossip.LeadingCentre(1) && !n.stopping.Load()
--- a/node/size_test.go
+++ b/node/size_test.go
@@ -337,3 +337,34 @@
 		})
 	}
 }
+
+// A store that is down is tried by few, at any size, and in force again everywhere soon
+// after it is back. With all trying, one that was down for 8 s had 10,000 calls of 295
+// instances, 0.13 of worth.
+func TestLostStoresAreTriedByFew(t *testing.T) {
+	t.Parallel()
+	const down = 8 * time.Second
+	for _, count := range []int{30, 200} {
+		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
+			t.Parallel()
+			playLarge(t, count, false, func(l *large) {
+				l.untilReady(3 * time.Second)
+				time.Sleep(time.Second)
+				before, _, _ := l.calls()
+				l.platform.SetFaults(fake.PlatformFaults{Busy: true})
+				time.Sleep(down)
+				during, _, _ := l.calls()
+				l.platform.SetFaults(fake.PlatformFaults{Delay: storeDelay})
+				l.began = l.clock.Now()
+				back := l.untilReady(3 * time.Second)
+				t.Logf("%d calls in %v, ready %v after it is back", during-before, down, back)
+				if calls := during - before; calls > 1800+2*count {
+					t.Errorf("%d calls in %v", calls, down)
+				}
+				if back > 1500*time.Millisecond {
+					t.Errorf("ready %v after the store is back", back)
+				}
+			})
+		})
+	}
+}
