One type for the instances that may own engines

places.Candidate had the fields of shelfshelf.Member, which digests carry since owners are agreed on, and node copied one list into the other at each ask for a place. Places takes members; Candidate and NewCandidate, which only a test still called, are gone. Behaviour is equal: the same hash of the same name; tests of places, and of node on owners and places, pass.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -14,7 +14,7 @@
 // form that can be compared.
 func Owners(n *Node, centre shelfshelf.DataCentre) string {
 	var owners []string
-	for _, candidate := range n.owners(centre) {
+	for _, candidate := range n.gossip.Members(centre) {
 		owners = append(owners, candidate.Address.String())
 	}
 	slices.Sort(owners)
--- a/node/places.go
+++ b/node/places.go
@@ -20,7 +20,7 @@
 		Clock:      n.Clock,
 		Log:        n.Log.WithPrefix("places"),
 		Self:       places.Holder{Address: address, Incarnation: n.gossip.Incarnation},
-		Candidates: n.owners,
+		Candidates: n.gossip.Members,
 		Send:       n.gossip.SendOther,
 	}
 	n.places.Book = &places.Book{Clock: n.Clock, Capacity: n.capacity, Grant: n.places.Grant}
@@ -30,16 +30,6 @@
 	return nil
 }
 
-// owners returns the instances of a data centre that may own engines.
-func (n *Node) owners(centre shelfshelf.DataCentre) []places.Candidate {
-	members := n.gossip.Members(centre)
-	candidates := make([]places.Candidate, len(members))
-	for i, member := range members {
-		candidates[i] = places.Candidate{Hash: member.Hash, Address: member.Address}
-	}
-	return candidates
-}
-
 // capacity returns what is known here of an engine.
 func (n *Node) capacity(key shelfshelf.TargetKey) (places.Capacity, bool) {
 	slots, told, known := n.balancer.Capacity(key)
--- a/places/client.go
+++ b/places/client.go
@@ -34,7 +34,7 @@
 	Book *Book
 	// Candidates returns the instances of a data centre that may own engines, this one
 	// included if it is there.
-	Candidates func(shelfshelf.DataCentre) []Candidate
+	Candidates func(shelfshelf.DataCentre) []shelfshelf.Member
 	// Send sends a datagram; what is lost is mended by the next sync.
 	Send func(to netip.AddrPort, content []byte)
 
--- a/places/network_test.go
+++ b/places/network_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 
@@ -83,12 +84,12 @@
 	return w.clients[to]
 }
 
-func (w *network) candidates(shelfshelf.DataCentre) []Candidate {
+func (w *network) candidates(shelfshelf.DataCentre) []shelfshelf.Member {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var all []Candidate
+	var all []shelfshelf.Member
 	for other := range w.clients {
-		all = append(all, NewCandidate(shelfshelf.InstanceID(other.String()), other))
+		all = append(all, shelfshelf.Member{Hash: xxhash.Sum64String(other.String()), Address: other})
 	}
 	return all
 }
--- a/places/owner.go
+++ b/places/owner.go
@@ -19,18 +19,6 @@
 	passOver = time.Second
 )
 
-// Candidate is an instance that may own engines.
-type Candidate struct {
-	// Hash is drawn from the instance's name.
-	Hash    uint64
-	Address netip.AddrPort
-}
-
-// NewCandidate returns an instance as a candidate.
-func NewCandidate(id shelfshelf.InstanceID, address netip.AddrPort) Candidate {
-	return Candidate{Hash: xxhash.Sum64String(string(id)), Address: address}
-}
-
 // owner returns the instance that owns an engine, among those that answer.
 func (c *Client) owner(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) (netip.AddrPort, bool) {
 	c.mu.Lock()
@@ -40,7 +28,7 @@
 
 func (c *Client) ownerLocked(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) (netip.AddrPort, bool) {
 	now := c.Clock.Now()
-	var best Candidate
+	var best shelfshelf.Member
 	var bestScore uint64
 	for _, candidate := range c.Candidates(centre) {
 		if c.passedOver(candidate.Address, now) {
@@ -54,7 +42,7 @@
 }
 
 // score ranks a candidate for an engine; the highest owns it.
-func score(candidate Candidate, target shelfshelf.TargetKey) uint64 {
+func score(candidate shelfshelf.Member, target shelfshelf.TargetKey) uint64 {
 	var key [8]byte
 	binary.LittleEndian.PutUint64(key[:], candidate.Hash^uint64(target))
 	return xxhash.Sum64(key[:])
