What an engine would have to read of a prompt is looked up once a choice

The check whether an answer ends in time looked up the held part of the prompt again for every engine, 160 times a choice and up to eight choices a request, beside the look-up of the expected time; a grant did so twice as well. Both take the number now. Behaviour is equal; tests of balance pass.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -109,7 +109,8 @@
 // target in the same unit.
 func (b *Balancer) cost(p *pool, t *targetState, need Need, now time.Time) time.Duration {
 	requests := t.load(now).requests
-	expected := b.expect(p, t, need, now)
+	unread := b.unread(t, need, now)
+	expected := b.expect(p, t, unread, now)
 	cost := expected + lateness(expected, need.Goal)
 	cost += time.Duration(t.failureShare(now) * float64(failurePenalty))
 	cost += time.Duration(requests) * crowdPenalty
@@ -119,19 +120,19 @@
 	if p.spec.Engine == nil {
 		return cost
 	}
-	if b.tooSlow(p, t, need, now) {
+	if p.tooSlow(t, need, unread, now) {
 		cost += need.Goal
 	}
 	return cost + b.ownBias(t)
 }
 
 // tooSlow reports that an engine is not expected to end a request's answer in time.
-func (b *Balancer) tooSlow(p *pool, t *targetState, need Need, now time.Time) bool {
+func (p *pool) tooSlow(t *targetState, need Need, unread int, now time.Time) bool {
 	if need.Deadline.IsZero() {
 		return false
 	}
 	left := float64(need.Deadline.Sub(now))
-	return float64(b.expectStay(p, t, need, now)) > finishShare*left
+	return float64(p.expectStay(t, need, unread, now)) > finishShare*left
 }
 
 // lateness is what an expected time beyond a safe part of the goal counts in
@@ -164,25 +165,25 @@
 	return others * float64(b.view.staleness) / 2 / float64(t.stay)
 }
 
-// expect predicts the time to the first token, or to a plain answer.
-func (b *Balancer) expect(p *pool, t *targetState, need Need, now time.Time) time.Duration {
+// expect predicts the time to the first token of a prompt of which the target has so many
+// tokens to read, or to a plain answer.
+func (b *Balancer) expect(p *pool, t *targetState, unread int, now time.Time) time.Duration {
 	loaded := t.load(now)
 	requests := loaded.requests
 	if p.spec.Engine == nil {
 		work := t.workTime()
 		return work + work*time.Duration(requests)/time.Duration(2*t.slots)
 	}
-	own := b.unread(t, need, now)
-	unread := own + loaded.before(own)
-	reading := p.readingTime(t, unread, now)
+	reading := p.readingTime(t, unread+loaded.before(unread), now)
 	queued := max(float64(requests+1-t.slots)+b.unseen(t, requests), 0)
 	turn := float64(t.stay) / float64(t.slots)
 	return firstTokenFixed + reading + time.Duration(queued*turn)
 }
 
-// expectStay predicts how long a request alone would keep its place at an engine.
-func (b *Balancer) expectStay(p *pool, t *targetState, need Need, now time.Time) time.Duration {
-	reading := p.readingTime(t, b.unread(t, need, now), now)
+// expectStay predicts how long a request alone, of whose prompt an engine has so many tokens
+// to read, would keep its place there.
+func (p *pool) expectStay(t *targetState, need Need, unread int, now time.Time) time.Duration {
+	reading := p.readingTime(t, unread, now)
 	return firstTokenFixed + reading + time.Duration(need.OutputTokens)*p.step(t, now)
 }
 
@@ -235,7 +236,7 @@
 	lease := &Lease{
 		Target:       t.target,
 		CachedTokens: need.PromptTokens - unread,
-		Expected:     b.expect(p, t, need, now),
+		Expected:     b.expect(p, t, unread, now),
 		InFlight:     loaded.requests,
 		balancer:     b,
 		state:        t,
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -89,7 +89,7 @@
 	})
 	if best != nil {
 		a.tried = append(a.tried, best)
-		a.stay = b.expectStay(p, best, a.need, now)
+		a.stay = p.expectStay(best, a.need, b.unread(best, a.need, now), now)
 	}
 	return best
 }
