--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -23,14 +23,6 @@
 // change is heard that much later.
 const historyPause = 500 * time.Millisecond
 
-// pauseForHistory returns how long to wait before the source is read as a whole because
-// its history is gone: not at all the first time.
-func (f *follower) pauseForHistory(now time.Time) time.Duration {
-	pause := max(historyPause-now.Sub(f.goneAt), 0)
-	f.goneAt = now.Add(pause)
-	return pause
-}
-
 // follower logs when a read's source is lost or back, and paces failed reads.
 type follower struct {
 	catalog *Catalog
@@ -75,3 +67,11 @@
 	}
 	return false
 }
+
+// pauseForHistory returns how long to wait before the source is read as a whole because
+// its history is gone: not at all the first time.
+func (f *follower) pauseForHistory(now time.Time) time.Duration {
+	pause := max(historyPause-now.Sub(f.goneAt), 0)
+	f.goneAt = now.Add(pause)
+	return pause
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -305,118 +304,6 @@
 	return messages, addresses
 }
 
-// loopExchange exchanges digests with the other data centres, in turn with the
-// others of this one. Instances that started together begin at any point of their turn:
-// with the first one after a whole turn, all 48 of a data centre told the others at the
-// same moment and then for 4 s nobody, so that each data centre let through a sixth of
-// customers' limits.
-func (n *Node) loopExchange(ctx context.Context) error {
-	began := false
-	for ctx.Err() == nil {
-		turn, met := n.exchangeTurn()
-		pause := jitter(turn)
-		switch {
-		case !met:
-			pause = exchangePeriod
-		case !began:
-			began = true
-			pause = time.Duration(rand.Float64() * float64(turn))
-		}
-		select {
-		case <-ctx.Done():
-		case <-n.Clock.After(pause):
-		}
-		if !n.exchanges() {
-			continue
-		}
-		for _, id := range n.pickRemotes() {
-			n.sendDigest(kindAsk, id)
-		}
-	}
-	return nil
-}
-
-// exchangeTurn returns how often this instance exchanges digests, and whether any other
-// instance of its data centre has been heard: until then it doesn't know how many there are.
-func (n *Node) exchangeTurn() (turn time.Duration, met bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	here := 1
-	for _, p := range n.peers {
-		if n.local(p.instance) && !p.silent {
-			here++
-			met = met || p.heardBefore
-		}
-	}
-	if n.sparse() {
-		here = len(n.first)
-	}
-	return time.Duration(here) * exchangePeriod, met
-}
-
-// exchanges reports that this instance is one of those that exchange digests: where the
-// data centre is large, those that tell its sums.
-func (n *Node) exchanges() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.sparse() || n.aggregates(n.Self.ID)
-}
-
-// pickRemotes picks one instance of each other data centre, if possible one that
-// isn't silent; of a large one, one that tells its sums.
-func (n *Node) pickRemotes() []shelfshelf.InstanceID {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	live := make(map[shelfshelf.DataCentre][]shelfshelf.Instance)
-	all := make(map[shelfshelf.DataCentre][]shelfshelf.Instance)
-	for _, p := range n.peers {
-		if n.local(p.instance) {
-			continue
-		}
-		centre := p.instance.DataCentre
-		all[centre] = append(all[centre], p.instance)
-		if p.unanswered < suspectAfter {
-			live[centre] = append(live[centre], p.instance)
-		}
-	}
-	var picked []shelfshelf.InstanceID
-	for centre, instances := range all {
-		large := len(instances) > fullMesh
-		if len(live[centre]) > 0 && rand.IntN(probeOneIn) > 0 {
-			instances = live[centre]
-			if large {
-				slices.SortFunc(instances, compareInstances)
-				instances = instances[:min(len(instances), aggregators)]
-			}
-		}
-		picked = append(picked, instances[rand.IntN(len(instances))].ID)
-	}
-	return picked
-}
-
-// sendDigest sends this data centre's digest to an instance of another.
-func (n *Node) sendDigest(k kind, to shelfshelf.InstanceID) {
-	status := n.Handler.Status()
-	status.Loads, status.Uses, status.EndedUses = nil, nil, nil
-	digest := n.Handler.Digest()
-	now := n.Clock.Now()
-	n.mu.Lock()
-	p := n.peers[to]
-	if p == nil {
-		n.mu.Unlock()
-		return
-	}
-	if k == kindAsk {
-		p.unanswered++
-	}
-	n.identify(&status)
-	n.describe(&digest, now)
-	status.Digests = []shelfshelf.Digest{digest}
-	messages, addresses := n.address(k, status, []*peerState{p}, now)
-	n.mu.Unlock()
-	n.send(messages[0], addresses[0])
-}
-
 func (n *Node) send(m message, to netip.AddrPort) {
 	content, err := encode(m)
 	if err != nil {
