gateway: the lines of a request name what it asks for

Each try of a request comes with another id, so that the output could not tell whether the engines ended under one request or under many alike: customer, route and sizes are no proof. A fingerprint of method, host, path and body stands in the lines of attempts and requests now, beside how many events had been passed on when an attempt broke off. No decision reads it.

--- /dev/null
+++ b/fingerprint_test.go
@@ -0,0 +1,28 @@
+package shelfshelf_test
+
+import (
+	"testing"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+func TestFingerprintsTellRequestsApart(t *testing.T) {
+	t.Parallel()
+	of := shelfshelf.FingerprintOf
+	first := of("POST", "h", "/a?b", []byte("body"))
+	if first != of("POST", "h", "/a?b", []byte("body")) {
+		t.Error("two tries of the same request differ")
+	}
+	for _, other := range []shelfshelf.Fingerprint{
+		of("GET", "h", "/a?b", []byte("body")),
+		of("POST", "g", "/a?b", []byte("body")),
+		of("POST", "h", "/a?c", []byte("body")),
+		of("POST", "h", "/a?b", []byte("bodies")),
+		of("POST", "h", "/a?", []byte("bbody")),
+		of("POST", "h/", "a?b", []byte("body")),
+	} {
+		if other == first {
+			t.Error("two requests have the same fingerprint")
+		}
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -54,8 +54,10 @@
 	customer         *shelfshelf.Customer
 	pool             shelfshelf.PoolName
 	body             []byte
-	tokens           int
-	quota            quota.Verdict
+	// fingerprint is the same for all tries of this request; 0 until its body is read.
+	fingerprint shelfshelf.Fingerprint
+	tokens      int
+	quota       quota.Verdict
 	// charge is what counts against the customer's limit.
 	charge quota.Entry
 	// unsent counts attempts that did not reach a target.
@@ -146,6 +148,9 @@
 	if c.route != nil {
 		fields = append(fields, "route", c.route.Name)
 	}
+	if c.fingerprint != 0 {
+		fields = append(fields, "fingerprint", c.fingerprint)
+	}
 	if c.customer != nil {
 		fields = append(fields, "customer", c.customer.Name, "tokens", c.tokens, "prompt", c.call.PromptTokens,
 			"outputHint", c.call.OutputHint)
@@ -333,9 +338,9 @@
 // attemptFailed logs why an attempt failed.
 func (c *request) attemptFailed(lease *balance.Lease, began time.Time, cause error) {
 	c.server.Metrics.attemptFailed()
-	c.server.Log.Warn("An attempt has failed.", "request", c.call.ID, "target", lease.Target.Name,
+	c.server.Log.Warn("An attempt has failed.", "request", c.call.ID, "fingerprint", c.fingerprint, "target", lease.Target.Name,
 		"address", lease.Target.Address, "after", c.server.Clock.Now().Sub(began), "sent", c.sent,
-		"mayHaveRun", c.mayHaveRun, "error", cause)
+		"mayHaveRun", c.mayHaveRun, "passed", c.passed, "error", cause)
 }
 
 func hashOf(text string) uint64 {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -194,6 +194,7 @@
 	// Writers that know no deadline, as in tests, have none to lift.
 	_ = control.SetReadDeadline(time.Time{})
 	c.body = body
+	c.fingerprint = shelfshelf.FingerprintOf(c.http.Method, c.http.Host, c.http.RequestURI, body)
 	return nil
 }
 
