node: a test of requests under which engines end, which fails

Three instances in two data centres before eight engines whose processes end 30 ms after they began a certain request, and are back under another name 0.3 s later; the request is sent again to all instances, beside streams that do no harm.

--- a/fake/server.go
+++ b/fake/server.go
@@ -28,6 +28,10 @@
 	Unframed bool
 	// Slow is the pause before the first byte and between events.
 	Slow time.Duration
+	// Deadly is the body of requests under which the process ends once it has run them
+	// for so long; empty means that there are none.
+	Deadly      string
+	DeadlyAfter time.Duration
 }
 
 // Run is one request that a Server has begun to work on.
@@ -43,7 +47,8 @@
 	// Orders names the headers that it came with which only this system may set: a caller
 	// that sends them gives the target orders.
 	Orders []string
-	// Ended says how it ended: whole, cut or left, by the caller; empty while it runs.
+	// Ended says how it ended: whole, cut, left by the caller, or died with the process;
+	// empty while it runs.
 	Ended string
 }
 
@@ -70,6 +75,8 @@
 	ID string
 	// Events is how many events a stream has; 0 makes it a plain service.
 	Events int
+	// Die ends the process, with all that it runs; needed where a body is deadly.
+	Die func()
 
 	mu     sync.Mutex
 	faults ServerFaults
@@ -125,6 +132,11 @@
 	w.Header().Set("X-Shelfshelf-Response-Signature", s.Signature(id))
 	w.Header().Set("X-Shelfshelf-Server-Load", "1,0,8")
 	switch {
+	case faults.Deadly != "" && run.Body == faults.Deadly:
+		time.Sleep(faults.DeadlyAfter)
+		s.end(run, "died")
+		s.Die()
+		panic(http.ErrAbortHandler)
 	case faults.Hang:
 		<-r.Context().Done()
 		s.end(run, "left")
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -149,7 +149,10 @@
 }
 
 // start starts an instance and waits until it is ready.
-func (f *fleet) start() *running {
+func (f *fleet) start() *running { return f.startIn("z") }
+
+// startIn starts an instance in a data centre and waits until it is ready.
+func (f *fleet) startIn(centre shelfshelf.DataCentre) *running {
 	d := &door{handler: f.platform.Handler()}
 	store := httptest.NewServer(d)
 	f.t.Cleanup(store.CloseClientConnections)
@@ -159,7 +162,7 @@
 		Clock: clockwork.NewRealClock(),
 		Log:   log.NewWithOptions(f.log, log.Options{Formatter: log.JSONFormatter}),
 		Settings: &settings.Node{
-			Instance: shelfshelf.InstanceID(fmt.Sprint("n", len(f.nodes))), DataCentre: "z",
+			Instance: shelfshelf.InstanceID(fmt.Sprint("n", len(f.nodes))), DataCentre: centre,
 			Callers: n.callers, Ready: n.ready, Peer: n.peer, Store: store.URL, Descriptors: 1000,
 			Metrics: f.metrics, KeyLease: f.keyLease, StopLimit: 8 * time.Second,
 			Retry: retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
