Requests that end whatever runs them are held back, over all instances

Cause: what a failure teaches was kept on the target (rests, failure share) and on the try (attempts, repeats), both of which end with it; what was asked for had no memory at all. A request that ends engines comes again under another id, to another instance, so that every bound on repeats (attempts a try, repeats a pool) began anew. Ruled out: engines that end of load (none did from 24 to 36 s under the same load), and resumed streams that carry the fault (most end well elsewhere).

Package crashes: where an answer breaks off and nothing listens at its target any more, or its next life is listed, the target's end is recorded with what it ran. Instances tell each other with their statuses, fetch what they missed, and keep suspects on the platform over a restart of all. A request under which three targets have ended is answered "not run" for 10 minutes, then tried once, and so on with doubled pauses. Who was beside a request under which more targets ended is excused by that one, and who comes to its end is free. A target's born is decoded; it tells lives under one name apart.

--- a/bundle.go
+++ b/bundle.go
@@ -169,6 +169,8 @@
 	Address string
 	// Leaving says that the target gets no new work.
 	Leaving bool
+	// Born is when the target's process started, by its own clock; zero if it doesn't tell.
+	Born time.Time
 	// Slots is how many requests the target works on at once.
 	Slots int
 	// PrefillRate is the declared speed of reading prompts, in tokens a second.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -134,6 +134,15 @@
 	return snapshot
 }
 
+// Target returns a target that is listed now; one that the source has lost is not.
+func (c *Catalog) Target(name shelfshelf.TargetName) (shelfshelf.Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	target, listed := c.targets[name]
+	_, vanished := c.vanished[name]
+	return target, listed && !vanished
+}
+
 // Run follows the source until the context ends.
 func (c *Catalog) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -45,6 +45,10 @@
 	m.set.GetOrCreateCounter("shelf_attempts_failed_total").Inc()
 }
 
+func (m *Metrics) heldBack() {
+	m.set.GetOrCreateCounter("shelf_requests_held_back_total").Inc()
+}
+
 // observe counts one request by route and status, with its times.
 func (m *Metrics) observe(c *request) {
 	route := "none"
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -101,6 +101,7 @@
 		return nil, err
 	}
 	c.mayHaveRun = true
+	c.outlived()
 	if answer.status >= http.StatusInternalServerError {
 		lease.Release(balance.Result{Failed: true})
 		err = &statusError{answer: response.Answer}
@@ -117,6 +118,9 @@
 	gone := c.http.Context().Err() != nil
 	lease.Release(balance.Result{Failed: !gone})
 	c.attemptFailed(lease, began, err)
+	if !gone {
+		c.broken(lease, err)
+	}
 	return err
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -241,6 +241,9 @@
 
 // place waits for a place at a target and checks that the request may still go there.
 func (c *request) place() (*balance.Lease, *refusal) {
+	if refused := c.heldBack(); refused != nil {
+		return nil, refused
+	}
 	lease, refused := c.acquire()
 	if refused != nil {
 		return nil, refused
@@ -276,9 +279,12 @@
 	return c.deadline.Sub(c.server.Clock.Now())
 }
 
-// maySend checks, right before a request goes out, that its key still holds and
-// that time is left.
+// maySend checks, right before a request goes out, that its key still holds, that no
+// further target has ended under it while it waited, and that time is left.
 func (c *request) maySend() *refusal {
+	if refused := c.heldBack(); refused != nil {
+		return refused
+	}
 	if !c.route.Public && !c.keysKnown() {
 		return c.giveUp("keys can't be checked: the configuration is too old", leaseRetryAfter)
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,6 +13,7 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/balance"
 	"github.com/shelfshelf/shelfshelf/catalog"
+	"github.com/shelfshelf/shelfshelf/crashes"
 	"github.com/shelfshelf/shelfshelf/quota"
 	"github.com/shelfshelf/shelfshelf/retrybudget"
 	"github.com/shelfshelf/shelfshelf/upstream"
@@ -53,7 +54,10 @@
 	Upstream *upstream.Client
 	Quota    *quota.Ledger
 	Retries  *retrybudget.Budget
-	Metrics  *Metrics
+	// Crashes knows under which requests targets have ended, and Witness finds it out.
+	Crashes *crashes.Record
+	Witness *crashes.Witness
+	Metrics *Metrics
 	// Fit reports that this instance may take connections.
 	Fit func() bool
 
@@ -131,6 +135,9 @@
 		return refused
 	}
 	c.setDeadline()
+	if refused := c.heldBack(); refused != nil {
+		return refused
+	}
 	return c.checkLimit()
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -107,6 +107,7 @@
 		return s.failed(ctx, lease, began, err, events)
 	}
 	lease.Release(balance.Result{Events: events})
+	s.outlived()
 	s.status = http.StatusOK
 	s.result = "answered"
 	return nil
@@ -123,12 +124,18 @@
 	}
 	lease.Release(balance.Result{Failed: !gone, Unreachable: errors.Is(err, errSilent), Events: events})
 	s.attemptFailed(lease, began, err)
+	if !gone {
+		s.broken(lease, err)
+	}
 	return err
 }
 
 // answerStatus handles an answer that is not a stream.
 func (s *stream) answerStatus(lease *balance.Lease, began time.Time, response *upstream.Response) error {
 	answer, err := readPlain(response)
+	if err == nil && !response.Answer.NotRun {
+		s.outlived()
+	}
 	lease.Release(balance.Result{Failed: true, Gone: response.Answer.OtherTarget})
 	if err == nil && !response.Answer.NotRun && !s.headWritten && response.Status < http.StatusInternalServerError {
 		s.mayHaveRun = true
@@ -147,6 +154,7 @@
 		s.failure = answer
 	}
 	s.attemptFailed(lease, began, err)
+	s.broken(lease, err)
 	return err
 }
 
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -102,6 +102,7 @@
 func (n *Node) sendDigest(k kind, to shelfshelf.InstanceID) {
 	status := n.Handler.Status()
 	status.Loads, status.Uses, status.EndedUses = nil, nil, nil
+	status.Crashes = n.Handler.Crashes(true)
 	digest := n.Handler.Digest()
 	now := n.Clock.Now()
 	n.mu.Lock()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -46,6 +46,9 @@
 	// Observations returns what this instance has seen of targets since it was last
 	// asked.
 	Observations() []shelfshelf.TargetSpeed
+	// Crashes returns what this instance has learnt lately of targets that ended; without
+	// wide, only what the others of its data centre can't have heard where it did.
+	Crashes(wide bool) []shelfshelf.Crash
 	// Digest returns what this instance knows of its data centre; the sender fills in
 	// which that is and its instances.
 	Digest() shelfshelf.Digest
@@ -241,6 +244,8 @@
 	status := n.Handler.Status()
 	status.Speeds = n.Handler.Observations()
 	sums, tells := n.ownDigest()
+	// Those that tell the sums of a large data centre hear what others don't.
+	status.Crashes = n.Handler.Crashes(tells)
 	now := n.Clock.Now()
 	n.mu.Lock()
 	n.identify(&status)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -48,6 +48,13 @@
 				Uses:           []shelfshelf.CustomerUse{{Customer: 7, Amount: 12}},
 				EndedUses:      []shelfshelf.CustomerUse{{Customer: 8, Amount: 3}},
 				Speeds:         []shelfshelf.TargetSpeed{{Target: 9, PrefillRate: 12.5, Step: 4 * time.Millisecond}},
+				CrashesHash:    rapid.Uint64().Draw(t, "hash of crashes"),
+				Crashes: []shelfshelf.Crash{{
+					ID: shelfshelf.CrashID(rapid.Uint64().Draw(t, "crash")), Age: time.Second,
+					Runs: []shelfshelf.CrashedRun{{
+						Request: shelfshelf.Fingerprint(rapid.Uint64().Draw(t, "request")), Outlived: rapid.Bool().Draw(t, "outlived"),
+					}},
+				}},
 				Digests: []shelfshelf.Digest{{
 					DataCentre: "y", Age: time.Second, Instances: 3, Loads: loads,
 					Members: []shelfshelf.Member{{
@@ -101,6 +108,8 @@
 
 func (m *member) Observations() []shelfshelf.TargetSpeed { return nil }
 
+func (m *member) Crashes(bool) []shelfshelf.Crash { return nil }
+
 func (m *member) Digest() shelfshelf.Digest { return shelfshelf.Digest{} }
 
 func (m *member) Heard(status shelfshelf.Status, at time.Time) {
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -11,7 +11,7 @@
 )
 
 // wireVersion changes with the form of messages.
-const wireVersion = 5
+const wireVersion = 6
 
 // The most bytes that one entry takes in CBOR, and all else of a message or a digest.
 const (
@@ -19,6 +19,8 @@
 	useSize    = 15
 	speedSize  = 16
 	memberSize = 32
+	crashSize  = 24
+	runSize    = 11
 	framesSize = 400
 )
 
@@ -73,8 +75,21 @@
 		Uses            []wireUse
 		EndedUses       []wireUse
 		Speeds          []wireSpeed
+		CrashesHash     uint64
+		Crashes         []wireCrash
 		Digests         []wireDigest
 	}
+	wireCrash struct {
+		_    struct{} `cbor:",toarray"`
+		ID   uint64
+		Age  int64
+		Runs []wireRun
+	}
+	wireRun struct {
+		_        struct{} `cbor:",toarray"`
+		Request  uint64
+		Outlived bool
+	}
 	wireDigest struct {
 		_          struct{} `cbor:",toarray"`
 		DataCentre string
@@ -114,7 +129,11 @@
 
 // statusSize bounds the size of a status without its digests, in bytes.
 func statusSize(s shelfshelf.Status) int {
-	return framesSize + loadSize*len(s.Loads) + useSize*(len(s.Uses)+len(s.EndedUses)) + speedSize*len(s.Speeds)
+	size := framesSize + loadSize*len(s.Loads) + useSize*(len(s.Uses)+len(s.EndedUses)) + speedSize*len(s.Speeds)
+	for _, crash := range s.Crashes {
+		size += crashSize + runSize*len(crash.Runs)
+	}
+	return size
 }
 
 // digestSize bounds the size of a digest, in bytes.
@@ -148,6 +167,8 @@
 		Uses:            usesToWire(s.Uses),
 		EndedUses:       usesToWire(s.EndedUses),
 		Speeds:          speedsToWire(s.Speeds),
+		CrashesHash:     s.CrashesHash,
+		Crashes:         crashesToWire(s.Crashes),
 	}
 	for _, digest := range s.Digests {
 		wire.Digests = append(wire.Digests, wireDigest{
@@ -196,6 +217,8 @@
 			Uses:           usesFromWire(wire.Uses),
 			EndedUses:      usesFromWire(wire.EndedUses),
 			Speeds:         speedsFromWire(wire.Speeds),
+			CrashesHash:    wire.CrashesHash,
+			Crashes:        crashesFromWire(wire.Crashes),
 		},
 		stamp:           time.Duration(wire.Stamp),
 		echo:            time.Duration(wire.Echo),
@@ -304,3 +327,27 @@
 	}
 	return speeds
 }
+
+func crashesToWire(crashes []shelfshelf.Crash) []wireCrash {
+	wire := make([]wireCrash, len(crashes))
+	for i, crash := range crashes {
+		wire[i] = wireCrash{ID: uint64(crash.ID), Age: int64(crash.Age), Runs: make([]wireRun, len(crash.Runs))}
+		for j, run := range crash.Runs {
+			wire[i].Runs[j] = wireRun{Request: uint64(run.Request), Outlived: run.Outlived}
+		}
+	}
+	return wire
+}
+
+func crashesFromWire(wire []wireCrash) []shelfshelf.Crash {
+	crashes := make([]shelfshelf.Crash, len(wire))
+	for i, crash := range wire {
+		crashes[i] = shelfshelf.Crash{
+			ID: shelfshelf.CrashID(crash.ID), Age: time.Duration(crash.Age), Runs: make([]shelfshelf.CrashedRun, len(crash.Runs)),
+		}
+		for j, run := range crash.Runs {
+			crashes[i].Runs[j] = shelfshelf.CrashedRun{Request: shelfshelf.Fingerprint(run.Request), Outlived: run.Outlived}
+		}
+	}
+	return crashes
+}
--- a/node/build.go
+++ b/node/build.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -8,6 +9,7 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/balance"
 	"github.com/shelfshelf/shelfshelf/catalog"
+	"github.com/shelfshelf/shelfshelf/crashes"
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
 	"github.com/shelfshelf/shelfshelf/quota"
@@ -42,7 +44,11 @@
 		Clock: n.Clock, Log: n.Log.WithPrefix("quota"), Ledger: n.quota, Store: &startUses{node: n}, Due: n.leads,
 	}
 	n.metrics = gateway.NewMetrics()
-	n.relay = &relay.Relay{Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Uses: n.quota.Known, Fetched: n.metrics.Fetched, Dial: n.Sockets.Dial}
+	n.buildCrashes()
+	n.relay = &relay.Relay{
+		Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Uses: n.quota.Known, Crashes: n.crashLog.Known,
+		Fetched: n.metrics.Fetched, Dial: n.Sockets.Dial,
+	}
 	n.relay.Init()
 	if err := n.buildGossip(); err != nil {
 		return err
@@ -56,6 +62,24 @@
 	return nil
 }
 
+// buildCrashes makes the parts that know under which requests targets have ended.
+func (n *Node) buildCrashes() {
+	logger := n.Log.WithPrefix("crashes")
+	n.crashes = &crashes.Record{Clock: n.Clock, Log: logger, Self: n.Settings.Instance}
+	n.crashLog = &crashes.Keeper{
+		Clock: n.Clock, Log: logger, Record: n.crashes, Store: &startCrashes{node: n}, Due: n.leads,
+		Fetch: func(ctx context.Context, address string) ([]shelfshelf.Crash, error) {
+			return n.relay.FetchCrashes(ctx, address)
+		},
+	}
+	n.crashLog.Init()
+	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec}
+	n.witness = &crashes.Witness{
+		Clock: n.Clock, Log: logger, Record: n.crashes, Reach: n.upstream.Reach, Target: n.catalog.Target,
+	}
+	n.metrics.Gauge("shelf_requests_held_back", func() float64 { return float64(n.crashes.HeldBack()) })
+}
+
 // buildGossip makes the part that tells the other instances and hears them.
 func (n *Node) buildGossip() error {
 	datagrams, err := n.Sockets.ListenPacket(n.Settings.Peer)
@@ -90,7 +114,9 @@
 		Codec:    n.Platform.Codec,
 		Catalog:  n.catalog,
 		Balancer: n.balancer,
-		Upstream: &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec},
+		Upstream: n.upstream,
+		Crashes:  n.crashes,
+		Witness:  n.witness,
 		Quota:    n.quota,
 		Retries: &retrybudget.Budget{
 			Clock:     n.Clock,
--- a/node/deadly_test.go
+++ b/node/deadly_test.go
@@ -71,6 +71,7 @@
 	if repeats := engines.runsAfter(third.Add(contact)); repeats > mostRepeats {
 		t.Errorf("a request under which three engines had ended was run %d times more; %d ended in all", repeats, count)
 	}
+	t.Logf("%d engines ended, %d others were served", count, beside.served)
 	if len(beside.failed) > 0 || beside.served < 50 {
 		t.Errorf("%d were served of those beside it, %d were not: %v", beside.served, len(beside.failed), beside.failed)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -40,6 +40,8 @@
 		Loads:      n.balancer.Own(),
 		Uses:       n.quota.Own(),
 		EndedUses:  n.quota.Ended(),
+		// Those that know the same of targets that ended say so with one number.
+		CrashesHash: n.crashes.Hash(),
 	}
 	if index, at := n.catalog.Index(); index != nil {
 		status.Revision = index.Revision
@@ -58,6 +60,11 @@
 	return n.balancer.Observations()
 }
 
+// Crashes returns what this instance has learnt lately of targets that ended.
+func (n *Node) Crashes(wide bool) []shelfshelf.Crash {
+	return n.crashes.News(wide)
+}
+
 // Digest returns what this instance knows of its data centre.
 func (n *Node) Digest() shelfshelf.Digest {
 	return shelfshelf.Digest{
@@ -76,6 +83,8 @@
 		n.balancer.HeardSpeeds(status.Speeds)
 		n.quota.Heard(status)
 	}
+	n.crashes.Heard(status.Crashes, status.From.DataCentre != n.Settings.DataCentre)
+	n.crashLog.Heard(status.From, status.CrashesHash)
 	n.relay.Heard(status, at)
 }
 
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -168,7 +168,7 @@
 			Retry: retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		},
 		Platform: node.Platform{
-			Catalog: client, Directory: client, Codec: platform.Headers{}, Uses: client, ReadyPath: platform.ReadyPath,
+			Catalog: client, Directory: client, Codec: platform.Headers{}, Uses: client, Crashes: client, ReadyPath: platform.ReadyPath,
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/node.go
+++ b/node/node.go
@@ -15,12 +15,14 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/balance"
 	"github.com/shelfshelf/shelfshelf/catalog"
+	"github.com/shelfshelf/shelfshelf/crashes"
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
 	"github.com/shelfshelf/shelfshelf/places"
 	"github.com/shelfshelf/shelfshelf/quota"
 	"github.com/shelfshelf/shelfshelf/relay"
 	"github.com/shelfshelf/shelfshelf/settings"
+	"github.com/shelfshelf/shelfshelf/upstream"
 )
 
 const (
@@ -65,6 +67,7 @@
 	Directory shelfshelf.InstanceDirectory
 	Codec     shelfshelf.CallCodec
 	Uses      shelfshelf.UseStore
+	Crashes   shelfshelf.CrashStore
 	// ReadyPath is where the balancer asks whether the instance takes connections.
 	ReadyPath string
 }
@@ -85,6 +88,10 @@
 	relay    *relay.Relay
 	quota    *quota.Ledger
 	keeper   *quota.Keeper
+	crashes  *crashes.Record
+	witness  *crashes.Witness
+	crashLog *crashes.Keeper
+	upstream *upstream.Client
 	gateway  *gateway.Server
 	metrics  *gateway.Metrics
 
@@ -110,7 +117,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
-	for _, part := range []func(context.Context) error{n.catalog.Run, n.gossip.Run, n.relay.Run, n.balancer.Run, n.places.Run, n.keeper.Run, n.gateway.Upstream.Run} {
+	for _, part := range []func(context.Context) error{n.catalog.Run, n.gossip.Run, n.relay.Run, n.balancer.Run, n.places.Run, n.keeper.Run, n.crashLog.Run, n.upstream.Run} {
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
 	callers := &http.Server{
--- a/node/start.go
+++ b/node/start.go
@@ -95,21 +95,49 @@
 
 // LoadUses asks an instance that knows, and the store where this one is to read it.
 func (u *startUses) LoadUses(ctx context.Context) (shelfshelf.SavedUses, error) {
-	n := u.node
+	return recall(ctx, u.node, &u.told, u.node.relay.FetchUses, u.node.Platform.Uses.LoadUses)
+}
+
+// startCrashes is where a starting instance learns under which requests targets have ended.
+type startCrashes struct {
+	node *Node
+	told toldAt
+}
+
+// SaveCrashes saves to the store.
+func (c *startCrashes) SaveCrashes(ctx context.Context, crashes []shelfshelf.Crash) error {
+	return c.node.Platform.Crashes.SaveCrashes(ctx, crashes)
+}
+
+// LoadCrashes asks an instance that knows, and the store where this one is to read it.
+// Nothing has been kept where the whole deployment starts for the first time.
+func (c *startCrashes) LoadCrashes(ctx context.Context) ([]shelfshelf.Crash, error) {
+	if c.node.Settings.FirstStart {
+		return nil, shelfshelf.ErrNotFound
+	}
+	return recall(ctx, c.node, &c.told, c.node.relay.FetchCrashes, c.node.Platform.Crashes.LoadCrashes)
+}
+
+// recall gets what was known before this instance started: from another instance, or from
+// the store where this one is to read it. Told is since when another one is known to have it.
+func recall[T any](
+	ctx context.Context, n *Node, told *toldAt, fetch func(context.Context, string) (T, error), load func(context.Context) (T, error),
+) (T, error) {
 	has := func(told gossip.Told) bool { return told.Recalled }
 	for {
 		if addresses := n.gossip.Knowing(has); len(addresses) > 0 {
-			saved, err := n.relay.FetchUses(ctx, addresses[rand.IntN(len(addresses))])
+			known, err := fetch(ctx, addresses[rand.IntN(len(addresses))])
 			if err == nil || errors.Is(err, shelfshelf.ErrNotFound) {
-				return saved, err
+				return known, err
 			}
 		}
-		if n.readsStore(&u.told, has) {
-			return n.Platform.Uses.LoadUses(ctx)
+		if n.readsStore(told, has) {
+			return load(ctx)
 		}
 		select {
 		case <-ctx.Done():
-			return shelfshelf.SavedUses{}, ctx.Err()
+			var none T
+			return none, ctx.Err()
 		case <-n.Clock.After(askPause):
 		}
 	}
--- a/nodecli/node.go
+++ b/nodecli/node.go
@@ -57,6 +57,7 @@
 			Directory: store,
 			Codec:     platform.Headers{},
 			Uses:      store,
+			Crashes:   store,
 			ReadyPath: platform.ReadyPath,
 		},
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,6 +42,9 @@
 	// ErrUnavailable if that is not known here yet, ErrNotFound if nobody knows. Nil means
 	// that it never is.
 	Uses func() (shelfshelf.SavedUses, error)
+	// Crashes returns all that is known of targets that ended; the error is ErrUnavailable
+	// if that is not known here yet. Nil means that it never is.
+	Crashes func() ([]shelfshelf.Crash, error)
 	// Fetched is told of each fetch: what was fetched, how far it came and whether it
 	// was taken; may be nil.
 	Fetched func(kind string, progress transfer.Progress, ok bool)
@@ -82,6 +85,7 @@
 	mux.HandleFunc("POST /"+kindParts, r.serveParts)
 	mux.HandleFunc("GET /"+kindTargets, r.serveTargets)
 	mux.HandleFunc("GET /"+kindUses, r.serveUses)
+	mux.HandleFunc("GET /"+kindCrashes, r.serveCrashes)
 	return mux
 }
 
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -18,6 +18,7 @@
 	kindParts         = "parts"
 	kindTargets       = "targets"
 	kindUses          = "uses"
+	kindCrashes       = "crashes"
 )
 
 type (
@@ -47,6 +48,8 @@
 		// KeptFor is how much longer a target is used that the store has lost; 0 for one
 		// that it has.
 		KeptFor int64
+		// BornMillis is a Unix time in milliseconds; 0 where it is not known.
+		BornMillis int64
 	}
 )
 
@@ -112,12 +115,27 @@
 			Leaving:    target.Leaving,
 			Slots:      target.Slots,
 			KeptFor:    keptFor(snapshot.KeptUntil[target.Name], now),
+			BornMillis: bornMillis(target.Born),
 		})
 	}
 	content, err := cbor.Marshal(wire)
 	return content, eris.Wrap(err, "encode targets")
 }
 
+func bornMillis(born time.Time) int64 {
+	if born.IsZero() {
+		return 0
+	}
+	return born.UnixMilli()
+}
+
+func bornFromMillis(millis int64) time.Time {
+	if millis == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(millis)
+}
+
 func keptFor(until, now time.Time) int64 {
 	if until.IsZero() {
 		return 0
@@ -147,6 +165,7 @@
 			Address:    target.Address,
 			Leaving:    target.Leaving,
 			Slots:      target.Slots,
+			Born:       bornFromMillis(target.BornMillis),
 		})
 	}
 	return snapshot, nil
--- a/status.go
+++ b/status.go
@@ -36,6 +36,10 @@
 	EndedUses []CustomerUse
 	// Speeds are observations of targets since the sender's last status.
 	Speeds []TargetSpeed
+	// Crashes are ends of targets of which the sender has learnt lately, and CrashesHash is
+	// the same for all who know the same of them.
+	Crashes     []Crash
+	CrashesHash uint64
 	// Digests are the words of other data centres that the sender has had since its
 	// last status.
 	Digests []Digest
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -110,13 +110,25 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, eris.Wrap(shelfshelf.ErrBroken, err.Error())
+		return nil, &brokenError{cause: err}
 	}
 	response.target = address
 	response.stop = stop
 	return response, nil
 }
 
+// Reach opens a connection to an address and keeps it for the next request; the error says
+// why there is none.
+func (c *Client) Reach(ctx context.Context, address string) error {
+	connection, err := c.connect(ctx, address, true)
+	if err != nil {
+		return err
+	}
+	connection.idleSince = c.Clock.Now()
+	c.keep(address, connection)
+	return nil
+}
+
 // connect takes a kept connection or opens one.
 func (c *Client) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
 	if !fresh {
