--- a/node/deadly_test.go
+++ b/node/deadly_test.go
@@ -77,6 +77,46 @@
 	}
 }
 
+// Who starts later knows it too: from the others, or, where all have ended meanwhile, from
+// the platform. Before it knows, three more engines would end.
+func TestHoldsOutliveInstances(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	engines := &mortals{f: f, pool: "engines", events: 5, faults: fake.ServerFaults{Deadly: deadly}}
+	engines.serve(6)
+	first := f.start()
+	for i := 0; i < 50; i++ {
+		if count, _ := engines.ended(1); count >= 3 {
+			break
+		}
+		f.ask(first, fmt.Sprint("d", i), "/s/x", withBody(deadly))
+	}
+	held := func(n *running) bool {
+		got := f.ask(n, "late", "/s/x", withBody(deadly))
+		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != ""
+	}
+	f.eventually("not held back where it was seen", func() bool { return held(first) })
+	before, _ := engines.ended(1)
+	second := f.start()
+	f.eventually("not held back by who starts beside it", func() bool { return held(second) })
+	time.Sleep(saved)
+	for _, n := range []*running{first, second} {
+		n.stop()
+		<-n.ended
+	}
+	third := f.start()
+	f.eventually("not held back by who starts after all have ended", func() bool { return held(third) })
+	if after, _ := engines.ended(1); after > before+2 {
+		t.Errorf("%d engines ended, then %d more", before, after-before)
+	}
+	if got := f.ask(third, "good", "/s/x", nil); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// saved is how soon what is known of ends is on the platform.
+const saved = 1500 * time.Millisecond
+
 // bystanders are callers of streams that do no harm, each of which is asked for again where
 // its engine ended under it.
 type bystanders struct {
