shelfentry holds back requests that end whatever runs them too

Left there: nothing is kept over a restart of all instances, and who missed two heartbeats is not told again.

--- a/cli/entry_run.go
+++ b/cli/entry_run.go
@@ -16,6 +16,7 @@
 	"github.com/shelfshelf/shelfshelf/platform"
 	"github.com/shelfshelf/shelfshelf/program"
 	"github.com/shelfshelf/shelfshelf/settings"
+	"github.com/shelfshelf/shelfshelf/transport"
 )
 
 // lonePeer is where an instance without peers has its unused socket.
@@ -55,6 +56,7 @@
 			Trust:       read.Trust,
 			Alone:       read.PeerListen == "",
 			MaxBody:     read.MaxBody,
+			Reach:       transport.Reach,
 		},
 		DrainDelay: read.DrainDelay,
 		StopLimit:  read.StopLimit,
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -21,6 +21,7 @@
 	"github.com/shelfshelf/shelfshelf/instance"
 	"github.com/shelfshelf/shelfshelf/keys"
 	"github.com/shelfshelf/shelfshelf/platform"
+	"github.com/shelfshelf/shelfshelf/transport"
 )
 
 const (
@@ -250,6 +251,7 @@
 				Objects:     client,
 				List:        client,
 				Trust:       c.Bundles.Trust,
+				Reach:       transport.Reach,
 			},
 			Callers:    callers,
 			Admin:      admin,
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -98,6 +98,8 @@
 
 // complete has the request run and writes the answer.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, c *call, body []byte, request prompt.Request) {
+	// Instances are reached by different names, so that the host says nothing.
+	c.fingerprint = shelfshelf.FingerprintOf(r.Method, "", r.URL.RequestURI(), body)
 	ask := c.ask()
 	ask.PromptTokens = request.Prompt.Tokens
 	ask.OutputTokens = request.MaxTokens
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/bundle"
 	"github.com/shelfshelf/shelfshelf/claim"
+	"github.com/shelfshelf/shelfshelf/crashes"
 )
 
 const (
@@ -39,7 +41,11 @@
 	Engines  shelfshelf.EngineClient
 	Services shelfshelf.ServiceClient
 	Claims   *claim.Claims
-	Metrics  *Metrics
+	// Crashes knows under which requests targets have ended, and Witness finds it out; a
+	// nil Witness finds out nothing.
+	Crashes *crashes.Record
+	Witness *crashes.Witness
+	Metrics *Metrics
 	// Instances returns how many instances are live; limits are shared by it.
 	Instances func() int
 	// Fit returns nil while this instance may serve, else why not.
@@ -67,6 +73,8 @@
 	tierName string
 	arrived  time.Time
 	deadline time.Time
+	// fingerprint is the same for all tries of the request.
+	fingerprint shelfshelf.Fingerprint
 	// target is where the request was dispatched last.
 	target shelfshelf.TargetName
 	// firstToken is when the first token came; zero before.
@@ -220,6 +228,9 @@
 // was not run is asked again, without the target that refused it.
 func (s *Server) dispatch(ctx context.Context, c *call, ask shelfshelf.Ask, run dispatchFunc) *problem {
 	for range maxDispatches {
+		if p := s.heldBack(c); p != nil {
+			return p
+		}
 		asking, cancel := s.until(ctx, c.deadline)
 		ticket, err := s.Granter.Ask(asking, ask)
 		cancel()
@@ -239,6 +250,16 @@
 	return notRunProblem("refused-by-targets", "every target that was tried refused the request", time.Second)
 }
 
+// heldBack refuses a request that ends whatever runs it, at whichever instance and under
+// whichever id it comes again.
+func (s *Server) heldBack(c *call) *problem {
+	hold, held := s.Crashes.Held(c.fingerprint, c.id)
+	if !held {
+		return nil
+	}
+	return notRunProblem("held-back", fmt.Sprintf("%d targets have ended under this request", hold.Ends), hold.Left)
+}
+
 func (s *Server) askFailed(ctx context.Context, err error) *problem {
 	if ctx.Err() != nil {
 		p := notRunProblem("cancelled", "the caller went away", 0)
@@ -278,6 +299,7 @@
 	ticket.Done(completion)
 	switch {
 	case err == nil:
+		s.Crashes.Outlived(c.fingerprint)
 		return nil, false
 	case errors.Is(err, shelfshelf.ErrRejected):
 		return badRequest("rejected", "the engine does not take this request"), false
@@ -291,6 +313,10 @@
 	p := unknownProblem("target " + string(target.Name) + " gave no whole answer")
 	if ctx.Err() != nil {
 		p.result = ResultCancelled
+		return p, false
+	}
+	if s.Witness != nil {
+		s.Witness.Broken(*target, c.fingerprint)
 	}
 	return p, false
 }
@@ -313,6 +339,15 @@
 	return ResultGood
 }
 
+// Target returns a target of the bundle in force.
+func (s *Server) Target(name shelfshelf.TargetName) (shelfshelf.Target, bool) {
+	dir := s.current.Load()
+	if dir == nil || dir.targets[name] == nil {
+		return shelfshelf.Target{}, false
+	}
+	return *dir.targets[name], true
+}
+
 // readBody reads a caller's body up to the limit.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
 	limit := s.MaxBody
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/bundle"
+	"github.com/shelfshelf/shelfshelf/crashes"
 	"github.com/shelfshelf/shelfshelf/deploy"
 	"github.com/shelfshelf/shelfshelf/entry"
 )
@@ -99,6 +101,11 @@
 		Fit:       func() error { return nil },
 		NewID:     func() shelfshelf.RequestID { return "r" },
 	}
+	server.Crashes = &crashes.Record{Clock: server.Clock, Log: server.Log}
+	server.Witness = &crashes.Witness{
+		Clock: server.Clock, Log: server.Log, Record: server.Crashes, Target: server.Target,
+		Reach: func(context.Context, string) error { return syscall.ECONNREFUSED },
+	}
 	server.Apply(&bundle.Accepted{Bundle: parsed})
 	return server
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -79,6 +79,7 @@
 }
 
 func (s *Server) serveService(w http.ResponseWriter, r *http.Request, c *call, body []byte) {
+	c.fingerprint = shelfshelf.FingerprintOf(r.Method, "", r.URL.RequestURI(), body)
 	run := &serviceRun{server: s, call: c}
 	run.request = shelfshelf.ServiceCall{
 		ID:         c.id,
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -20,6 +20,8 @@
 	Leaving []TargetName
 	// Known lists the instances that the sender hears.
 	Known []Instance
+	// Crashes are ends of targets of which the sender has learnt lately.
+	Crashes []Crash
 }
 
 // Peers is the way to other instances.
--- a/instance/core.go
+++ b/instance/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/bundle"
 	"github.com/shelfshelf/shelfshelf/claim"
+	"github.com/shelfshelf/shelfshelf/crashes"
 	"github.com/shelfshelf/shelfshelf/entry"
 	"github.com/shelfshelf/shelfshelf/keys"
 	"github.com/shelfshelf/shelfshelf/member"
@@ -38,6 +40,9 @@
 	Peers    shelfshelf.Peers
 	Engines  shelfshelf.EngineClient
 	Services shelfshelf.ServiceClient
+	// Reach opens a connection to a target and closes it; nil means that it is not known
+	// whether a target's process is there.
+	Reach func(ctx context.Context, address string) error
 	// Alone says that there are no other instances, so none has to be heard.
 	Alone bool
 	// MaxBody bounds a caller's body, in bytes; 0 means the default.
@@ -120,6 +125,7 @@
 		Mine:      c.sweeps,
 		Customers: c.customers,
 	}
+	c.buildCrashes()
 	c.Members.Head = c.Watcher.Head
 	c.Members.StoreAt = c.Watcher.StoreContact
 	c.Members.HeadHeard = c.Watcher.Heard
@@ -127,6 +133,25 @@
 	c.publish()
 }
 
+// buildCrashes ties in what is known of requests under which targets have ended.
+func (c *Core) buildCrashes() {
+	logger := c.Log.WithPrefix("crashes")
+	record := &crashes.Record{Clock: c.Clock, Log: logger, Self: c.ID}
+	c.Server.Crashes = record
+	c.Members.Crashes = func() []shelfshelf.Crash { return record.News(false) }
+	c.Members.CrashesHeard = func(told []shelfshelf.Crash) { record.Heard(told, false) }
+	if c.Reach != nil {
+		c.Server.Witness = &crashes.Witness{Clock: c.Clock, Log: logger, Record: record, Reach: c.Reach, Target: c.target}
+	}
+}
+
+// target returns a target of the bundle in force, leaving if anybody knows that it is.
+func (c *Core) target(name shelfshelf.TargetName) (shelfshelf.Target, bool) {
+	target, found := c.Server.Target(name)
+	target.Leaving = target.Leaving || slices.Contains(c.Members.LeavingTargets(), name)
+	return target, found
+}
+
 // Build makes the parts once; Run needs it.
 func (c *Core) Build() {
 	if c.Server == nil {
--- a/member/members.go
+++ b/member/members.go
@@ -45,6 +45,10 @@
 	Head func() shelfshelf.Head
 	// StoreAt returns when this instance last read the store's head; zero if never.
 	StoreAt func() time.Time
+	// Crashes returns the ends of targets to be told, and CrashesHeard takes those that
+	// others tell; both may be nil.
+	Crashes      func() []shelfshelf.Crash
+	CrashesHeard func([]shelfshelf.Crash)
 	// HeadHeard is called with each head heard and who told it.
 	HeadHeard func(from shelfshelf.Instance, head shelfshelf.Head)
 	// Changed is called, outside locks, after the live instances or the leaving
@@ -213,6 +217,9 @@
 	}
 	beat.Leaving = m.leavingNow(true)
 	beat.Known = m.sample()
+	if m.Crashes != nil {
+		beat.Crashes = m.Crashes()
+	}
 	return beat
 }
 
@@ -250,6 +257,9 @@
 	changed = m.refresh() || changed
 	m.mu.Unlock()
 	m.HeadHeard(beat.From, beat.Head)
+	if m.CrashesHeard != nil {
+		m.CrashesHeard(beat.Crashes)
+	}
 	if changed {
 		m.Changed()
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -86,6 +86,17 @@
 		Known       []wireInstance `cbor:"6,keyasint,omitempty"`
 		// StoreMicros is 0 if the sender knows of no read of the store.
 		StoreMicros int64 `cbor:"7,keyasint,omitempty"`
+		// Crashes is missing in heartbeats of before it was told.
+		Crashes []wireCrash `cbor:"8,keyasint,omitempty"`
+	}
+	wireCrash struct {
+		ID        uint64        `cbor:"1,keyasint"`
+		AgeMicros int64         `cbor:"2,keyasint"`
+		Runs      []wireCrashed `cbor:"3,keyasint,omitempty"`
+	}
+	wireCrashed struct {
+		Request  uint64 `cbor:"1,keyasint"`
+		Outlived bool   `cbor:"2,keyasint,omitempty"`
 	}
 	wireInstance struct {
 		ID         string `cbor:"1,keyasint"`
@@ -269,9 +280,28 @@
 	for _, instance := range beat.Known {
 		wire.Known = append(wire.Known, instanceToWire(instance))
 	}
+	for _, crash := range beat.Crashes {
+		wire.Crashes = append(wire.Crashes, crashToWire(crash))
+	}
 	return wire
 }
 
+func crashToWire(crash shelfshelf.Crash) wireCrash {
+	wire := wireCrash{ID: uint64(crash.ID), AgeMicros: crash.Age.Microseconds()}
+	for _, run := range crash.Runs {
+		wire.Runs = append(wire.Runs, wireCrashed{Request: uint64(run.Request), Outlived: run.Outlived})
+	}
+	return wire
+}
+
+func (w *wireCrash) domain() shelfshelf.Crash {
+	crash := shelfshelf.Crash{ID: shelfshelf.CrashID(w.ID), Age: micros(w.AgeMicros)}
+	for _, run := range w.Runs {
+		crash.Runs = append(crash.Runs, shelfshelf.CrashedRun{Request: shelfshelf.Fingerprint(run.Request), Outlived: run.Outlived})
+	}
+	return crash
+}
+
 func (w *wireHeartbeat) domain() shelfshelf.Heartbeat {
 	beat := shelfshelf.Heartbeat{
 		From:        w.From.domain(),
@@ -288,6 +318,9 @@
 	for _, instance := range w.Known {
 		beat.Known = append(beat.Known, instance.domain())
 	}
+	for _, crash := range w.Crashes {
+		beat.Crashes = append(beat.Crashes, crash.domain())
+	}
 	return beat
 }
 
--- a/peer/wire_test.go
+++ b/peer/wire_test.go
@@ -51,6 +51,36 @@
 	}
 }
 
+func TestHeartbeatSurvivesTheWire(t *testing.T) {
+	t.Parallel()
+	beat := shelfshelf.Heartbeat{
+		From:        shelfshelf.Instance{ID: "a", DataCentre: "z", Address: "10.0.0.1:1", State: shelfshelf.InstanceLive},
+		Incarnation: 3,
+		StoreSeen:   true,
+		StoreAge:    time.Second + time.Microsecond,
+		Leaving:     []shelfshelf.TargetName{"t"},
+		Crashes: []shelfshelf.Crash{{
+			ID: 1<<64 - 1, Age: time.Minute,
+			Runs: []shelfshelf.CrashedRun{{Request: 1<<64 - 1}, {Request: 7, Outlived: true}},
+		}},
+	}
+	var frame bytes.Buffer
+	if err := writeFrame(&frame, kindHeartbeat, heartbeatToWire(beat)); err != nil {
+		t.Fatal(err)
+	}
+	_, payload, err := readFrame(&frame)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wire wireHeartbeat
+	if err := decode(payload, &wire); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(beat, wire.domain()); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func FuzzFrame(f *testing.F) {
 	var frame bytes.Buffer
 	if err := writeFrame(&frame, kindHeartbeat, heartbeatToWire(shelfshelf.Heartbeat{Incarnation: 1})); err != nil {
