--- a/node/export_test.go
+++ b/node/export_test.go
@@ -20,3 +20,14 @@
 	slices.Sort(owners)
 	return fmt.Sprint(owners)
 }
+
+// TargetEnded notes that a target ended under a request, as an instance that saw it does.
+func TargetEnded(n *Node, target shelfshelf.TargetName, request shelfshelf.Fingerprint) {
+	n.crashes.Ended(shelfshelf.Target{Name: target}, []shelfshelf.Fingerprint{request}, n.Clock.Now())
+}
+
+// HoldsBack reports that an instance refuses a request.
+func HoldsBack(n *Node, request shelfshelf.Fingerprint) bool {
+	_, held := n.crashes.Held(request, "r")
+	return held
+}
