--- a/catalog.go
+++ b/catalog.go
@@ -32,14 +32,22 @@
 	Whole   bool
 	Changed []Target
 	Removed []TargetName
-	// Unreadable are entries that were left out, an error each.
-	Unreadable []error
+	// Unreadable are entries that name no target to use.
+	Unreadable []UnreadableTarget
 	// Version orders the lists: a list with a greater one is newer.
 	Version uint64
 	// Cursor is where the next read goes on.
 	Cursor uint64
 }
 
+// UnreadableTarget is an entry of the list that names no target to use, as another writer
+// may leave it.
+type UnreadableTarget struct {
+	Name TargetName
+	// Reason says what is wrong, with the field.
+	Reason error
+}
+
 // CatalogSource is where configuration and targets are kept. Errors are
 // ErrHistoryGone or ErrUnavailable, possibly wrapped. A read ends by itself when the
 // source falls silent, however long an answer that goes on may take.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -74,6 +74,8 @@
 	// vanished holds targets that the source lost during an outage, and until when
 	// they are kept.
 	vanished map[shelfshelf.TargetName]time.Time
+	// unreadable are the entries that name no target, with the reason.
+	unreadable map[shelfshelf.TargetName]string
 	// vanishes tells the loop that drops them of new ones.
 	vanishes chan struct{}
 	// configurationAt and targetsAt are up to when the knowledge is known to hold.
--- a/catalog/targets.go
+++ b/catalog/targets.go
@@ -58,10 +58,8 @@
 // applyTargets takes an update. Keep tells until when a target that a whole list
 // lacks is kept all the same.
 func (c *Catalog) applyTargets(update shelfshelf.TargetsUpdate, at time.Time, from string, keep func(shelfshelf.TargetName) time.Time) {
-	for _, err := range update.Unreadable {
-		c.Log.Error("A target's entry can't be read and is left out.", "error", err)
-	}
 	c.mu.Lock()
+	c.noteUnreadable(update)
 	if c.targets == nil {
 		c.targets = make(map[shelfshelf.TargetName]shelfshelf.Target)
 		c.vanished = make(map[shelfshelf.TargetName]time.Time)
@@ -103,6 +101,35 @@
 	c.notify(from)
 }
 
+// noteUnreadable keeps which entries name no target, and logs each when it becomes so, not
+// at each read. The lock is held.
+func (c *Catalog) noteUnreadable(update shelfshelf.TargetsUpdate) {
+	before := c.unreadable
+	if update.Whole || before == nil {
+		c.unreadable = make(map[shelfshelf.TargetName]string)
+	}
+	for _, target := range update.Changed {
+		delete(c.unreadable, target.Name)
+	}
+	for _, name := range update.Removed {
+		delete(c.unreadable, name)
+	}
+	for _, entry := range update.Unreadable {
+		reason := entry.Reason.Error()
+		c.unreadable[entry.Name] = reason
+		if before[entry.Name] != reason {
+			c.Log.Warn("An entry names no target to use.", "entry", entry.Name, "reason", reason)
+		}
+	}
+}
+
+// Unreadable returns how many entries of the list name no target to use.
+func (c *Catalog) Unreadable() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.unreadable)
+}
+
 // remove drops a target, or marks it as vanished if it is kept for a moment. It
 // reports whether that is news; the lock is held.
 func (c *Catalog) remove(name shelfshelf.TargetName, until, now time.Time) bool {
--- a/node/build.go
+++ b/node/build.go
@@ -132,6 +132,7 @@
 		_, at := n.catalog.Index()
 		return n.Clock.Now().Sub(at).Seconds()
 	})
+	n.metrics.Gauge("shelf_unreadable_targets", func() float64 { return float64(n.catalog.Unreadable()) })
 	n.metrics.Gauge("shelf_configuration_bytes", func() float64 {
 		index, _ := n.catalog.Index()
 		if index == nil {
