A target's new life begins anew at the balancer, and its ends are told apart

Cause: what an instance believed of a target hung on its name: with a new life under the same name it still ran what the old one had run, held its prompts and rested for its failures, and late results of the old life taught the new one. Lives are told apart by born now; an entry that doesn't tell it is of the same life. Not changed yet: the book of an engine's owner, which frees places when their attempts break, its rests of up to 2 s, and others' word on loads, which counts for 1.5 s.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -99,7 +99,9 @@
 	shares  shares
 }
 
-// SetTargets replaces pools and targets; what is in flight stays counted.
+// SetTargets replaces pools and targets; what is in flight stays counted. A target that
+// started again under its name begins anew: it runs nothing, holds no prompt and may be
+// reached, and leases of its earlier life change nothing of that.
 func (b *Balancer) SetTargets(pools []shelfshelf.Pool, targets []shelfshelf.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -118,8 +120,13 @@
 		}
 		b.pools[pools[i].Name] = p
 	}
+	gone := make(map[shelfshelf.TargetName]bool)
 	for _, target := range targets {
 		state := old[target.Name]
+		if state != nil && !state.target.SameLife(target) {
+			gone[target.Name] = true
+			state = nil
+		}
 		if state == nil {
 			state = &targetState{
 				peers:   make(map[shelfshelf.InstanceID]toldLoad),
@@ -136,7 +143,6 @@
 			p.targets = append(p.targets, state)
 		}
 	}
-	gone := make(map[shelfshelf.TargetName]bool)
 	for name := range old {
 		if b.targets[name] == nil {
 			gone[name] = true
--- a/balance/speeds.go
+++ b/balance/speeds.go
@@ -17,16 +17,26 @@
 
 // observeRate learns how fast a target reads; the lock is held.
 func (b *Balancer) observeRate(t *targetState, rate float64, now time.Time) {
+	if !b.current(t) {
+		return
+	}
 	t.learnRate(rate, now)
 	b.keepObservation(shelfshelf.TargetSpeed{Target: t.key, PrefillRate: rate})
 }
 
 // observeStep learns how fast a target writes; the lock is held.
 func (b *Balancer) observeStep(t *targetState, step time.Duration, now time.Time) {
+	if !b.current(t) {
+		return
+	}
 	t.learnStep(step, now)
 	b.keepObservation(shelfshelf.TargetSpeed{Target: t.key, Step: step})
 }
 
+// current reports that a target has not gone or started again since: what an earlier life
+// did teaches nothing of the one under its name. The lock is held.
+func (b *Balancer) current(t *targetState) bool { return b.keys[t.key] == t }
+
 func (b *Balancer) keepObservation(speed shelfshelf.TargetSpeed) {
 	if len(b.observations) < maxObservations {
 		b.observations = append(b.observations, speed)
--- a/bundle.go
+++ b/bundle.go
@@ -188,6 +188,12 @@
 	Shared bool
 }
 
+// SameLife reports that two entries of a target are of the same start of its process, as
+// far as they tell.
+func (t Target) SameLife(other Target) bool {
+	return t.Born.IsZero() || other.Born.IsZero() || t.Born.Equal(other.Born)
+}
+
 // Head points at the bundle in force.
 type Head struct {
 	Revision Revision
--- a/crashes/witness.go
+++ b/crashes/witness.go
@@ -94,5 +94,5 @@
 // bornAgain reports that another life of a target is listed under its name.
 func (w *Witness) bornAgain(target shelfshelf.Target) bool {
 	listed, found := w.Target(target.Name)
-	return found && !listed.Born.Equal(target.Born)
+	return found && !listed.SameLife(target)
 }
--- a/node/deadly_test.go
+++ b/node/deadly_test.go
@@ -43,10 +43,23 @@
 // been beside it on an engine are to be served all the same.
 func TestRequestsThatEndEnginesAreBounded(t *testing.T) {
 	t.Parallel()
+	for name, engines := range map[string]*mortals{
+		"back under another name":         {backAfter: 300 * time.Millisecond},
+		"back at once under the same one": {backAfter: 2 * time.Millisecond, sameName: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			boundEnds(t, engines)
+		})
+	}
+}
+
+// boundEnds sends a deadly request again and again to instances of two data centres, beside
+// others, and checks how many engines end under it.
+func boundEnds(t *testing.T, engines *mortals) {
 	f := newFleet(t)
-	engines := &mortals{f: f, pool: "engines", events: 20, faults: fake.ServerFaults{
-		Slow: 10 * time.Millisecond, Deadly: deadly, DeadlyAfter: 30 * time.Millisecond,
-	}}
+	engines.f, engines.pool, engines.events = f, "engines", 20
+	engines.faults = fake.ServerFaults{Slow: 10 * time.Millisecond, Deadly: deadly, DeadlyAfter: 30 * time.Millisecond}
 	engines.serve(8)
 	nodes := []*running{f.startIn("z"), f.startIn("z"), f.startIn("y")}
 	var wait sync.WaitGroup
@@ -82,7 +95,9 @@
 func TestHoldsOutliveInstances(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
-	engines := &mortals{f: f, pool: "engines", events: 5, faults: fake.ServerFaults{Deadly: deadly}}
+	engines := &mortals{
+		f: f, pool: "engines", events: 5, faults: fake.ServerFaults{Deadly: deadly}, backAfter: 300 * time.Millisecond,
+	}
 	engines.serve(6)
 	first := f.start()
 	for i := 0; i < 50; i++ {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -148,6 +148,17 @@
 	f.platform.Put("servers", name, content)
 }
 
+// listLife lists a target that is ready, with the moment of its start in Unix milliseconds.
+func (f *fleet) listLife(name, service, address string, born int64) {
+	content, err := json.Marshal(object{
+		"Service": service, "Address": address, "Zone": "z", "Slots": engineSlots, "State": "ready", "born": born,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.platform.Put("servers", name, content)
+}
+
 // start starts an instance and waits until it is ready.
 func (f *fleet) start() *running { return f.startIn("z") }
 
--- a/node/mortal_test.go
+++ b/node/mortal_test.go
@@ -10,20 +10,19 @@
 	"github.com/shelfshelf/shelfshelf/fake"
 )
 
-const (
-	// backAfter is how long an engine's process is away after its end, and lapseAfter how
-	// long the list still names it.
-	backAfter  = 300 * time.Millisecond
-	lapseAfter = 900 * time.Millisecond
-)
+// lapseAfter is how long the list still names an engine that is gone.
+const lapseAfter = 900 * time.Millisecond
 
 // mortals are engines whose processes end when they run a request with a deadly body,
-// without a word, and are back under another name at another address.
+// without a word, and are back after some time under another name at another address, or
+// under their own at the same.
 type mortals struct {
-	f      *fleet
-	pool   string
-	events int
-	faults fake.ServerFaults
+	f         *fleet
+	pool      string
+	events    int
+	faults    fake.ServerFaults
+	backAfter time.Duration
+	sameName  bool
 
 	mu sync.Mutex
 	// ends are when a process ended, and runs when one ran a deadly request.
@@ -34,14 +33,17 @@
 // serve starts so many engines.
 func (m *mortals) serve(count int) {
 	for i := range count {
-		m.live(fmt.Sprint("e", i), 1)
+		m.live(fmt.Sprint("e", i), "127.0.0.1:0", 1)
 	}
 }
 
-// live starts an engine's process, a life of it.
-func (m *mortals) live(engine string, life int) {
+// live starts an engine's process, a life of it, at an address.
+func (m *mortals) live(engine, address string, life int) {
 	name := fmt.Sprint(engine, "-", life)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if m.sameName {
+		name = engine
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		m.f.t.Error(err)
 		return
@@ -54,14 +56,19 @@
 		once.Do(func() {
 			m.note(&m.ends)
 			_ = process.Close()
-			time.AfterFunc(backAfter, func() { m.live(engine, life+1) })
-			time.AfterFunc(lapseAfter, func() { m.f.platform.Drop("servers", name) })
+			next := "127.0.0.1:0"
+			if m.sameName {
+				next = listener.Addr().String()
+			} else {
+				time.AfterFunc(lapseAfter, func() { m.f.platform.Drop("servers", name) })
+			}
+			time.AfterFunc(m.backAfter, func() { m.live(engine, next, life+1) })
 		})
 	}
 	server.SetFaults(m.faults)
 	go func() { _ = process.Serve(listener) }()
 	m.f.t.Cleanup(func() { _ = process.Close() })
-	m.f.list(name, m.pool, listener.Addr().String(), "ready")
+	m.f.listLife(name, m.pool, listener.Addr().String(), int64(life))
 }
 
 func (m *mortals) note(instants *[]time.Time) {
