Instances count the time for which their machine was suspended

Cause: ages went by Go's steady clock, which stands while a machine is suspended. Package elapsed reads the kernel's clock that counts suspensions; both programs and their clients of the store use it. A suspension is to all ages, windows and leases what a freeze is; only timers leave it out, and whoever waits looks at the time again.

--- a/cli/entry_run.go
+++ b/cli/entry_run.go
@@ -7,10 +7,10 @@
 	"net"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"github.com/shelfshelf/shelfshelf/elapsed"
 	"github.com/shelfshelf/shelfshelf/instance"
 	"github.com/shelfshelf/shelfshelf/keys"
 	"github.com/shelfshelf/shelfshelf/platform"
@@ -37,8 +37,12 @@
 	if err != nil {
 		return program.WithCode(program.ExitInput, err)
 	}
-	clock := clockwork.NewRealClock()
+	clock, err := elapsed.New()
+	if err != nil {
+		return err
+	}
 	client := platform.NewStore(read.Platform.Address)
+	client.Clock = clock
 	if read.Platform.Timeout > 0 {
 		client.Timeout = read.Platform.Timeout
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -47,6 +47,8 @@
 	routes  []object
 	keys    []string
 	log     *fake.Log
+	// clock is the clock of the instances.
+	clock shelfshelf.Clock
 	// keyLease and metrics are settings of the instances.
 	keyLease time.Duration
 	metrics  string
@@ -100,7 +102,7 @@
 	f := &fleet{
 		t: t, platform: fake.NewPlatform(clockwork.NewRealClock()), servers: make(map[string]*fake.Server),
 		version: 1, limits: object{}, keys: []string{"k1"}, log: &fake.Log{},
-		keyLease: keyLease,
+		keyLease: keyLease, clock: clockwork.NewRealClock(),
 	}
 	f.routes = []object{
 		{"Name": "stream", "Host": "h.example", "PathPrefix": "/s/", "Kind": "streaming", "TimeoutMs": 10000, "GoalMs": 800, "Service": "engines", "MaxAttempts": 2, "CanResume": true, "GapGoalMs": 400},
@@ -170,7 +172,7 @@
 	client := platform.NewStore(store.URL)
 	n := &running{callers: fake.Address(), ready: fake.Address(), peer: fake.Address(), ended: make(chan struct{})}
 	instance := &node.Node{
-		Clock: clockwork.NewRealClock(),
+		Clock: f.clock,
 		Log:   log.NewWithOptions(f.log, log.Options{Formatter: log.JSONFormatter}),
 		Settings: &settings.Node{
 			Instance: shelfshelf.InstanceID(fmt.Sprint("n", len(f.nodes))), DataCentre: centre,
--- a/nodecli/node.go
+++ b/nodecli/node.go
@@ -5,9 +5,9 @@
 	"runtime/debug"
 
 	"github.com/charmbracelet/log"
-	"github.com/jonboulle/clockwork"
 	"github.com/oklog/run"
 
+	"github.com/shelfshelf/shelfshelf/elapsed"
 	"github.com/shelfshelf/shelfshelf/logsink"
 	"github.com/shelfshelf/shelfshelf/node"
 	"github.com/shelfshelf/shelfshelf/platform"
@@ -46,8 +46,12 @@
 		ReportTimestamp: true,
 		TimeFormat:      "15:04:05.000",
 	})
-	clock := clockwork.NewRealClock()
+	clock, err := elapsed.New()
+	if err != nil {
+		return err
+	}
 	store := platform.NewStore(read.Store)
+	store.Clock = clock
 	instance := &node.Node{
 		Clock:    clock,
 		Log:      logger,
