crashes: one form in messages, what is told in a file of its own; docs

The codec of ends of targets stood in gossip and relay alike. An age below zero in a message counts as none.

--- a/crashes/record.go
+++ b/crashes/record.go
@@ -24,14 +24,6 @@
 	// sameEnd is how long after a target's end its connections may still break: what breaks
 	// later is another end of a target that started again under its name.
 	sameEnd = 1500 * time.Millisecond
-	// tellFor is how long what is new is told with each status: 4 to 30 times, over links
-	// that lose messages.
-	tellFor = time.Second
-	// tellBytes bounds what one status tells, in bytes; the rest is fetched.
-	tellBytes = 4 << 10
-	// crashBytes and runBytes are the most that a crash and one run take in a message.
-	crashBytes = 24
-	runBytes   = 11
 )
 
 // Record is what is known of crashes. Two instances that have heard the same say the
@@ -54,14 +46,6 @@
 	changed chan struct{}
 }
 
-// news is a crash of which something was learnt lately.
-type news struct {
-	at time.Time
-	// wide says that the others of the data centre may not have heard it where this
-	// instance did.
-	wide bool
-}
-
 // Changed returns a channel that receives after something was learnt.
 func (r *Record) Changed() <-chan struct{} {
 	r.mu.Lock()
@@ -154,7 +138,7 @@
 	c := r.crashes[told.ID]
 	changed := c == nil
 	if c == nil {
-		c = &crash{at: r.Clock.Now().Add(-told.Age), runs: make(map[shelfshelf.Fingerprint]bool)}
+		c = &crash{at: r.Clock.Now().Add(-max(told.Age, 0)), runs: make(map[shelfshelf.Fingerprint]bool)}
 		if r.crashes == nil {
 			r.crashes = make(map[shelfshelf.CrashID]*crash)
 		}
@@ -275,80 +259,3 @@
 	})
 	return ids
 }
-
-// News returns what was learnt lately, as far as it has room in a status; without wide,
-// only what the others of the data centre can't have heard where this instance did.
-func (r *Record) News(wide bool) []shelfshelf.Crash {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.news) == 0 {
-		return nil
-	}
-	now := r.Clock.Now()
-	var told []shelfshelf.Crash
-	room := tellBytes
-	for id, n := range r.news {
-		if now.Sub(n.at) >= tellFor || !wide && !n.wide {
-			continue
-		}
-		c := r.crashes[id]
-		if room -= crashBytes + runBytes*len(c.runs); room < 0 && len(told) > 0 {
-			break
-		}
-		told = append(told, c.told(id, now))
-	}
-	return told
-}
-
-// told returns the form in which a crash is told to others.
-func (c *crash) told(id shelfshelf.CrashID, now time.Time) shelfshelf.Crash {
-	told := shelfshelf.Crash{ID: id, Age: now.Sub(c.at)}
-	for request, outlived := range c.runs {
-		told.Runs = append(told.Runs, shelfshelf.CrashedRun{Request: request, Outlived: outlived})
-	}
-	return told
-}
-
-// All returns all that is known, the newest first.
-func (r *Record) All() []shelfshelf.Crash {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	var all []shelfshelf.Crash
-	for _, id := range r.newestFirst() {
-		all = append(all, r.crashes[id].told(id, now))
-	}
-	return all
-}
-
-// Hash returns a value that two records have in common that know the same.
-func (r *Record) Hash() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.hash
-}
-
-// leastSaved is from how many ends on a request is saved: who was at one target that ended
-// is not worth a row, and most of those who were have no second one.
-const leastSaved = 2
-
-// Suspected returns the crashes with only the runs that matter after a restart of all, the
-// newest first.
-func (r *Record) Suspected() []shelfshelf.Crash {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	var suspected []shelfshelf.Crash
-	for _, id := range r.newestFirst() {
-		told := shelfshelf.Crash{ID: id, Age: now.Sub(r.crashes[id].at)}
-		for request, outlived := range r.crashes[id].runs {
-			if !outlived && r.judged[request].ends >= leastSaved {
-				told.Runs = append(told.Runs, shelfshelf.CrashedRun{Request: request})
-			}
-		}
-		if len(told.Runs) > 0 {
-			suspected = append(suspected, told)
-		}
-	}
-	return suspected
-}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/crashes"
 )
 
 // wireVersion changes with the form of messages.
@@ -19,8 +20,6 @@
 	useSize    = 15
 	speedSize  = 16
 	memberSize = 32
-	crashSize  = 24
-	runSize    = 11
 	framesSize = 400
 )
 
@@ -76,20 +75,9 @@
 		EndedUses       []wireUse
 		Speeds          []wireSpeed
 		CrashesHash     uint64
-		Crashes         []wireCrash
+		Crashes         []crashes.Wire
 		Digests         []wireDigest
 	}
-	wireCrash struct {
-		_    struct{} `cbor:",toarray"`
-		ID   uint64
-		Age  int64
-		Runs []wireRun
-	}
-	wireRun struct {
-		_        struct{} `cbor:",toarray"`
-		Request  uint64
-		Outlived bool
-	}
 	wireDigest struct {
 		_          struct{} `cbor:",toarray"`
 		DataCentre string
@@ -129,11 +117,8 @@
 
 // statusSize bounds the size of a status without its digests, in bytes.
 func statusSize(s shelfshelf.Status) int {
-	size := framesSize + loadSize*len(s.Loads) + useSize*(len(s.Uses)+len(s.EndedUses)) + speedSize*len(s.Speeds)
-	for _, crash := range s.Crashes {
-		size += crashSize + runSize*len(crash.Runs)
-	}
-	return size
+	return framesSize + loadSize*len(s.Loads) + useSize*(len(s.Uses)+len(s.EndedUses)) + speedSize*len(s.Speeds) +
+		crashes.WireSize(s.Crashes)
 }
 
 // digestSize bounds the size of a digest, in bytes.
@@ -168,7 +153,7 @@
 		EndedUses:       usesToWire(s.EndedUses),
 		Speeds:          speedsToWire(s.Speeds),
 		CrashesHash:     s.CrashesHash,
-		Crashes:         crashesToWire(s.Crashes),
+		Crashes:         crashes.ToWire(s.Crashes),
 	}
 	for _, digest := range s.Digests {
 		wire.Digests = append(wire.Digests, wireDigest{
@@ -218,7 +203,7 @@
 			EndedUses:      usesFromWire(wire.EndedUses),
 			Speeds:         speedsFromWire(wire.Speeds),
 			CrashesHash:    wire.CrashesHash,
-			Crashes:        crashesFromWire(wire.Crashes),
+			Crashes:        crashes.FromWire(wire.Crashes),
 		},
 		stamp:           time.Duration(wire.Stamp),
 		echo:            time.Duration(wire.Echo),
@@ -327,27 +312,3 @@
 	}
 	return speeds
 }
-
-func crashesToWire(crashes []shelfshelf.Crash) []wireCrash {
-	wire := make([]wireCrash, len(crashes))
-	for i, crash := range crashes {
-		wire[i] = wireCrash{ID: uint64(crash.ID), Age: int64(crash.Age), Runs: make([]wireRun, len(crash.Runs))}
-		for j, run := range crash.Runs {
-			wire[i].Runs[j] = wireRun{Request: uint64(run.Request), Outlived: run.Outlived}
-		}
-	}
-	return wire
-}
-
-func crashesFromWire(wire []wireCrash) []shelfshelf.Crash {
-	crashes := make([]shelfshelf.Crash, len(wire))
-	for i, crash := range wire {
-		crashes[i] = shelfshelf.Crash{
-			ID: shelfshelf.CrashID(crash.ID), Age: time.Duration(crash.Age), Runs: make([]shelfshelf.CrashedRun, len(crash.Runs)),
-		}
-		for j, run := range crash.Runs {
-			crashes[i].Runs[j] = shelfshelf.CrashedRun{Request: shelfshelf.Fingerprint(run.Request), Outlived: run.Outlived}
-		}
-	}
-	return crashes
-}
--- a/node/build.go
+++ b/node/build.go
@@ -46,7 +46,7 @@
 	n.metrics = gateway.NewMetrics()
 	n.buildCrashes()
 	n.relay = &relay.Relay{
-		Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Uses: n.quota.Known, Crashes: n.crashLog.Known,
+		Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Uses: n.quota.Known, Crashes: n.crashKeeper.Known,
 		Fetched: n.metrics.Fetched, Dial: n.Sockets.Dial,
 	}
 	n.relay.Init()
@@ -66,13 +66,13 @@
 func (n *Node) buildCrashes() {
 	logger := n.Log.WithPrefix("crashes")
 	n.crashes = &crashes.Record{Clock: n.Clock, Log: logger, Self: n.Settings.Instance}
-	n.crashLog = &crashes.Keeper{
+	n.crashKeeper = &crashes.Keeper{
 		Clock: n.Clock, Log: logger, Record: n.crashes, Store: &startCrashes{node: n}, Due: n.leads,
 		Fetch: func(ctx context.Context, address string) ([]shelfshelf.Crash, error) {
 			return n.relay.FetchCrashes(ctx, address)
 		},
 	}
-	n.crashLog.Init()
+	n.crashKeeper.Init()
 	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec}
 	n.witness = &crashes.Witness{
 		Clock: n.Clock, Log: logger, Record: n.crashes, Reach: n.upstream.Reach, Target: n.catalog.Target,
--- a/node/deadly_test.go
+++ b/node/deadly_test.go
@@ -32,7 +32,7 @@
 // Two requests ended one engine after the other, 22 and 15 in all, each with the streams
 // beside it. Their callers sent them again, every time under another id and to another
 // instance, and every instance took every try for a request that nobody had seen. The output
-// of all instances had, at each of 21 ends in 10 s, one attempt with the same customer, route
+// of all instances had, at each of 19 ends in 10 s, one attempt with the same customer, route
 // and sizes, as in
 //
 //	"An attempt has failed.","target":"i-8c6f43e262","after":"88.321457ms","sent":1,"error":"unexpected EOF"
@@ -81,10 +81,11 @@
 	if third.IsZero() {
 		t.Fatalf("only %d engines ended", count)
 	}
-	if repeats := engines.runsAfter(third.Add(contact)); repeats > mostRepeats {
+	repeats := engines.runsAfter(third.Add(contact))
+	t.Logf("%d engines ended, %d runs late, %d others were served", count, repeats, beside.served)
+	if repeats > mostRepeats {
 		t.Errorf("a request under which three engines had ended was run %d times more; %d ended in all", repeats, count)
 	}
-	t.Logf("%d engines ended, %d others were served", count, beside.served)
 	if len(beside.failed) > 0 || beside.served < 50 {
 		t.Errorf("%d were served of those beside it, %d were not: %v", beside.served, len(beside.failed), beside.failed)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -84,7 +84,7 @@
 		n.quota.Heard(status)
 	}
 	n.crashes.Heard(status.Crashes, status.From.DataCentre != n.Settings.DataCentre)
-	n.crashLog.Heard(status.From, status.CrashesHash)
+	n.crashKeeper.Heard(status.From, status.CrashesHash)
 	n.relay.Heard(status, at)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -81,19 +81,19 @@
 	// Sockets is the machine's network; nil means the operating system's.
 	Sockets shelfshelf.Sockets
 
-	catalog  *catalog.Catalog
-	balancer *balance.Balancer
-	places   *places.Client
-	gossip   *gossip.Node
-	relay    *relay.Relay
-	quota    *quota.Ledger
-	keeper   *quota.Keeper
-	crashes  *crashes.Record
-	witness  *crashes.Witness
-	crashLog *crashes.Keeper
-	upstream *upstream.Client
-	gateway  *gateway.Server
-	metrics  *gateway.Metrics
+	catalog     *catalog.Catalog
+	balancer    *balance.Balancer
+	places      *places.Client
+	gossip      *gossip.Node
+	relay       *relay.Relay
+	quota       *quota.Ledger
+	keeper      *quota.Keeper
+	crashes     *crashes.Record
+	witness     *crashes.Witness
+	crashKeeper *crashes.Keeper
+	upstream    *upstream.Client
+	gateway     *gateway.Server
+	metrics     *gateway.Metrics
 
 	callers  net.Listener
 	ready    net.Listener
@@ -117,7 +117,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
-	for _, part := range []func(context.Context) error{n.catalog.Run, n.gossip.Run, n.relay.Run, n.balancer.Run, n.places.Run, n.keeper.Run, n.crashLog.Run, n.upstream.Run} {
+	for _, part := range []func(context.Context) error{n.catalog.Run, n.gossip.Run, n.relay.Run, n.balancer.Run, n.places.Run, n.keeper.Run, n.crashKeeper.Run, n.upstream.Run} {
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
 	callers := &http.Server{
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -3,27 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
-)
-
-type (
-	// wireCrash is a target's end so long ago, in nanoseconds.
-	wireCrash struct {
-		_    struct{} `cbor:",toarray"`
-		ID   uint64
-		Age  int64
-		Runs []wireRun
-	}
-	wireRun struct {
-		_        struct{} `cbor:",toarray"`
-		Request  uint64
-		Outlived bool
-	}
+	"github.com/shelfshelf/shelfshelf/crashes"
 )
 
 func (r *Relay) serveCrashes(w http.ResponseWriter, _ *http.Request) {
@@ -52,31 +37,15 @@
 	return known, err
 }
 
-func encodeCrashes(crashes []shelfshelf.Crash) ([]byte, error) {
-	wire := make([]wireCrash, 0, len(crashes))
-	for _, crash := range crashes {
-		w := wireCrash{ID: uint64(crash.ID), Age: int64(crash.Age)}
-		for _, run := range crash.Runs {
-			w.Runs = append(w.Runs, wireRun{Request: uint64(run.Request), Outlived: run.Outlived})
-		}
-		wire = append(wire, w)
-	}
-	content, err := cbor.Marshal(wire)
+func encodeCrashes(known []shelfshelf.Crash) ([]byte, error) {
+	content, err := cbor.Marshal(crashes.ToWire(known))
 	return content, eris.Wrap(err, "encode ends of targets")
 }
 
 func decodeCrashes(content []byte) ([]shelfshelf.Crash, error) {
-	var wire []wireCrash
+	var wire []crashes.Wire
 	if err := cbor.Unmarshal(content, &wire); err != nil {
 		return nil, eris.Wrap(err, "decode ends of targets")
 	}
-	var crashes []shelfshelf.Crash
-	for _, w := range wire {
-		crash := shelfshelf.Crash{ID: shelfshelf.CrashID(w.ID), Age: time.Duration(w.Age)}
-		for _, run := range w.Runs {
-			crash.Runs = append(crash.Runs, shelfshelf.CrashedRun{Request: shelfshelf.Fingerprint(run.Request), Outlived: run.Outlived})
-		}
-		crashes = append(crashes, crash)
-	}
-	return crashes, nil
+	return crashes.FromWire(wire), nil
 }
