An ask for a place is made when its engine is chosen

Cause: the ask read the engine's entry outside the lock under which a new list replaces it. Half of one data centre's name and half of another's would have asked an owner of nobody. TestTargetsChangeWhileOwnersAreAsked: two reports of the race detector before, none after; go test -race ./node and ./places pass.

--- a/balance/lives_test.go
+++ b/balance/lives_test.go
@@ -51,3 +51,26 @@
 		}
 	})
 }
+
+// Entries of engines change while owners are asked for their places. An ask read the entry
+// that was just being replaced: with half of a name from each, it went to nobody's engine.
+// The race detector shows it.
+func TestTargetsChangeWhileOwnersAreAsked(t *testing.T) {
+	t.Parallel()
+	b, owners := newOwned(4, here, "b")
+	owners.set("t0", shelfshelf.PlaceGranted)
+	owners.set("t1", shelfshelf.PlaceGranted)
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		for i := range 200 {
+			pools, targets := engines(4, here, "b")
+			targets[0].Slots = 4 + i%2
+			b.SetTargets(pools, targets)
+		}
+	}()
+	for range 200 {
+		acquire(t, b, need("r", time.Second)).Cancel()
+	}
+	<-changed
+}
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -26,8 +26,9 @@
 	need     Need
 	granted  chan shelfshelf.PlaceID
 	tried    []*targetState
-	// stay is how long the request would keep a place of the engine that was chosen last.
-	stay time.Duration
+	// next is what the owner of the engine that was chosen last is asked. It is made when the
+	// engine is chosen: its entry may be replaced while its owner is asked.
+	next shelfshelf.PlaceAsk
 	// waits are the lines that the request stands in, as far as is known: some owners may
 	// not have answered yet.
 	waits map[shelfshelf.PlaceID]*targetState
@@ -89,7 +90,15 @@
 	})
 	if best != nil {
 		a.tried = append(a.tried, best)
-		a.stay = p.expectStay(best, a.need, b.unread(best, a.need, now), now)
+		a.next = shelfshelf.PlaceAsk{
+			Target:     best.key,
+			DataCentre: best.target.DataCentre,
+			Begun:      a.need.Begun,
+			Rank:       a.need.Rank,
+			Tier:       a.need.Tier,
+			Stay:       p.expectStay(best, a.need, b.unread(best, a.need, now), now),
+			Wait:       max(a.need.WaitUntil.Sub(now), 0),
+		}
 	}
 	return best
 }
@@ -97,15 +106,7 @@
 // ask asks one engine's owner; without its word, this instance decides alone.
 func (a *asking) ask(ctx context.Context, t *targetState) *Lease {
 	b := a.balancer
-	answer := b.Places.Ask(ctx, shelfshelf.PlaceAsk{
-		Target:     t.key,
-		DataCentre: t.target.DataCentre,
-		Begun:      a.need.Begun,
-		Rank:       a.need.Rank,
-		Tier:       a.need.Tier,
-		Stay:       a.stay,
-		Wait:       max(a.need.WaitUntil.Sub(b.Clock.Now()), 0),
-	}, a.granted)
+	answer := b.Places.Ask(ctx, a.next, a.granted)
 	switch answer.Outcome {
 	case shelfshelf.PlaceGranted:
 		a.answered++
