One place looks into ended targets, one fetch, no work for who doesn't save

Each failed attempt is told of by attemptFailed, which now has it looked into whether its target ended; three calls beside it, each with a guard of its own for callers that are gone, leave (the guard is in broken). Fetches of uses and of ends of targets were the same lines: fetchOnce serves both. The size of a crash in a message was added up in two places. An instance that is not the one to save listed all suspects at each change, only to drop them. Behaviour is as it was; tests of crashes, gateway, relay, gossip and node pass unchanged.

--- a/crashes/keeper.go
+++ b/crashes/keeper.go
@@ -135,10 +135,13 @@
 // save saves what has changed, if this instance is the one to do so; it logs the first
 // failure in a row and the end of failures.
 func (k *Keeper) save(ctx context.Context) {
+	now := k.Clock.Now()
+	if !k.Due() || now.Sub(k.savedAt) < savePause {
+		return
+	}
 	suspected := k.Record.Suspected()
 	hash := hashOfAll(suspected)
-	now := k.Clock.Now()
-	if !k.Due() || hash == k.saved || now.Sub(k.savedAt) < savePause {
+	if hash == k.saved {
 		return
 	}
 	k.savedAt = now
--- a/crashes/told.go
+++ b/crashes/told.go
@@ -40,11 +40,11 @@
 		if now.Sub(n.at) >= tellFor || !wide && !n.wide {
 			continue
 		}
-		c := r.crashes[id]
-		if room -= crashBytes + runBytes*len(c.runs); room < 0 && len(told) > 0 {
+		next := r.crashes[id].told(id, now)
+		if room -= wireSize(next); room < 0 && len(told) > 0 {
 			break
 		}
-		told = append(told, c.told(id, now))
+		told = append(told, next)
 	}
 	return told
 }
--- a/crashes/wire.go
+++ b/crashes/wire.go
@@ -33,11 +33,13 @@
 func WireSize(crashes []shelfshelf.Crash) int {
 	size := 0
 	for _, crash := range crashes {
-		size += crashBytes + runBytes*len(crash.Runs)
+		size += wireSize(crash)
 	}
 	return size
 }
 
+func wireSize(crash shelfshelf.Crash) int { return crashBytes + runBytes*len(crash.Runs) }
+
 // ToWire returns crashes in the form of messages.
 func ToWire(crashes []shelfshelf.Crash) []Wire {
 	wire := make([]Wire, len(crashes))
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -21,8 +21,11 @@
 }
 
 // broken has it looked into whether a target has ended, where its answer broke off and it
-// was not this side that gave up.
+// was neither this side nor the caller that gave up.
 func (c *request) broken(lease *balance.Lease, err error) {
+	if c.http.Context().Err() != nil {
+		return
+	}
 	silent := errors.Is(err, errSilent) && !c.over()
 	if silent || upstream.ClosedByTarget(err) {
 		c.server.Witness.Broken(lease.Target, c.fingerprint)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -118,9 +118,6 @@
 	gone := c.http.Context().Err() != nil
 	lease.Release(balance.Result{Failed: !gone})
 	c.attemptFailed(lease, began, err)
-	if !gone {
-		c.broken(lease, err)
-	}
 	return err
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -341,12 +341,13 @@
 	return c.sent - c.turnedAway
 }
 
-// attemptFailed logs why an attempt failed.
+// attemptFailed logs why an attempt failed, and has it looked into whether its target ended.
 func (c *request) attemptFailed(lease *balance.Lease, began time.Time, cause error) {
 	c.server.Metrics.attemptFailed()
 	c.server.Log.Warn("An attempt has failed.", "request", c.call.ID, "fingerprint", c.fingerprint, "target", lease.Target.Name,
 		"address", lease.Target.Address, "after", c.server.Clock.Now().Sub(began), "sent", c.sent,
 		"mayHaveRun", c.mayHaveRun, "passed", c.passed, "error", cause)
+	c.broken(lease, cause)
 }
 
 func hashOf(text string) uint64 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -124,9 +124,6 @@
 	}
 	lease.Release(balance.Result{Failed: !gone, Unreachable: errors.Is(err, errSilent), Events: events})
 	s.attemptFailed(lease, began, err)
-	if !gone {
-		s.broken(lease, err)
-	}
 	return err
 }
 
@@ -154,7 +151,6 @@
 		s.failure = answer
 	}
 	s.attemptFailed(lease, began, err)
-	s.broken(lease, err)
 	return err
 }
 
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -27,14 +27,7 @@
 
 // FetchCrashes asks another instance for all that it knows of targets that ended.
 func (r *Relay) FetchCrashes(ctx context.Context, address string) ([]shelfshelf.Crash, error) {
-	e := &exchange{relay: r, address: address, began: r.Clock.Now()}
-	content, err := e.ask(ctx, http.MethodGet, kindCrashes, nil)
-	var known []shelfshelf.Crash
-	if err == nil {
-		known, err = decodeCrashes(content)
-	}
-	r.report(e, kindCrashes, err)
-	return known, err
+	return fetchOnce(ctx, r, address, kindCrashes, decodeCrashes)
 }
 
 func encodeCrashes(known []shelfshelf.Crash) ([]byte, error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -210,6 +210,19 @@
 	return nil
 }
 
+// fetchOnce asks another instance for one piece of knowledge and reads it, and reports what
+// became of that.
+func fetchOnce[T any](ctx context.Context, r *Relay, address, kind string, decode func([]byte) (T, error)) (T, error) {
+	e := &exchange{relay: r, address: address, began: r.Clock.Now()}
+	content, err := e.ask(ctx, http.MethodGet, kind, nil)
+	var known T
+	if err == nil {
+		known, err = decode(content)
+	}
+	r.report(e, kind, err)
+	return known, err
+}
+
 // exchange is what is asked of another instance for one piece of knowledge.
 type exchange struct {
 	relay    *Relay
--- a/relay/uses.go
+++ b/relay/uses.go
@@ -48,14 +48,9 @@
 // FetchUses asks another instance what customers have used. The error is ErrNotFound if
 // it says that nothing was saved.
 func (r *Relay) FetchUses(ctx context.Context, address string) (shelfshelf.SavedUses, error) {
-	e := &exchange{relay: r, address: address, began: r.Clock.Now()}
-	content, err := e.ask(ctx, http.MethodGet, kindUses, nil)
-	var saved shelfshelf.SavedUses
-	if err == nil {
-		saved, err = decodeUses(content)
-	}
-	r.report(e, kindUses, err)
-	saved.Age += r.Clock.Now().Sub(e.began)
+	began := r.Clock.Now()
+	saved, err := fetchOnce(ctx, r, address, kindUses, decodeUses)
+	saved.Age += r.Clock.Now().Sub(began)
 	return saved, err
 }
 
