The log tells what limit a target names with its answer

Which answers named a limit, and how large, could not be seen in any output, so that the hypotheses on who read it could not be told apart. The line on a request's end has it now (targetLimit), and the load of plain services beside it. Nothing acts on it yet.

--- a/call.go
+++ b/call.go
@@ -65,6 +65,19 @@
 	Waiting   int
 	Slots     int
 	LoadKnown bool
+	// Limit is what the target says that it takes, and LimitUnread that it says something
+	// that can't be read.
+	Limit       RateLimit
+	LimitUnread bool
+}
+
+// RateLimit is what a target takes from all instances together, for as long as its answers
+// say so.
+type RateLimit struct {
+	// Named says that there is a limit.
+	Named bool
+	// PerSecond is how many requests a second it takes.
+	PerSecond float64
 }
 
 // CallCodec reads and writes the headers of calls and answers.
--- a/fake/server.go
+++ b/fake/server.go
@@ -38,6 +38,9 @@
 	// before an answer and between events beside Slow.
 	FailShare float64
 	Late      time.Duration
+	// Limit is the header by which it names the requests a second that it takes from all
+	// together; empty means that it names none.
+	Limit string
 	// OnlyPath restricts FailShare and Late to requests whose paths begin so, and
 	// OnlyBeside to those that run beside so many others at least.
 	OnlyPath   string
@@ -137,6 +140,9 @@
 	s.mu.Lock()
 	faults := s.faults
 	s.mu.Unlock()
+	if faults.Limit != "" {
+		w.Header().Set("Server-Limit", faults.Limit)
+	}
 	if faults.Refuse {
 		w.Header().Set("X-Shelfshelf-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -166,6 +166,9 @@
 	if c.load.LoadKnown {
 		fields = append(fields, "targetRunning", c.load.Running, "targetWaiting", c.load.Waiting)
 	}
+	if c.load.Limit.Named || c.load.LimitUnread {
+		fields = append(fields, "targetLimit", c.load.Limit.PerSecond, "limitUnread", c.load.LimitUnread)
+	}
 	if !c.firstByte.IsZero() {
 		fields = append(fields, "first", c.firstByte.Sub(c.arrived))
 	}
@@ -308,7 +311,7 @@
 	if c.sent == 0 {
 		c.charge = c.server.Quota.Move(c.charge)
 	}
-	return c.server.Upstream.Send(ctx, lease.Target.Address, upstream.Request{
+	response, err := c.server.Upstream.Send(ctx, lease.Target.Address, upstream.Request{
 		ID:     c.call.ID,
 		Method: c.http.Method,
 		Target: c.http.RequestURI,
@@ -317,6 +320,10 @@
 		Body:   c.body,
 		Fresh:  c.sent > 0,
 	})
+	if err == nil {
+		c.load = response.Answer
+	}
+	return response, err
 }
 
 // mayRepeat reports that the request may go to one more target after a failure.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -96,7 +96,6 @@
 		s.mayHaveRun = true
 		return s.failed(ctx, lease, began, err, 0)
 	}
-	s.load = response.Answer
 	defer response.Close()
 	if response.Status != http.StatusOK {
 		return s.answerStatus(lease, began, response)
