upstream: connections to targets go through the instance's sockets where it is given some

Instances before a simulated network could not send to targets on it, so that no test had hundreds of them before real targets. The system's own way is unchanged. The stand-in can cut a machine off, and tells where a request came from.

--- a/fake/machine.go
+++ b/fake/machine.go
@@ -113,6 +113,9 @@
 	n.mu.Lock()
 	socket := n.sockets[to]
 	until := n.Clock.Now()
+	if socket != nil && (n.isolated[from.machine] || n.isolated[socket.machine]) {
+		socket = nil
+	}
 	if socket != nil {
 		n.received[socket.machine] += int64(len(content))
 		n.datagrams++
--- a/fake/network.go
+++ b/fake/network.go
@@ -26,6 +26,7 @@
 	sockets   map[netip.AddrPort]*packetSocket
 	datagrams int
 	conns     map[*networkConn]bool
+	isolated  map[string]bool
 }
 
 // NewNetwork returns a network without machines.
@@ -33,7 +34,7 @@
 	return &Network{
 		Clock: clock, listeners: make(map[string]*networkListener),
 		links: make(map[string]*link), received: make(map[string]int64), conns: make(map[*networkConn]bool),
-		sockets: make(map[netip.AddrPort]*packetSocket),
+		sockets: make(map[netip.AddrPort]*packetSocket), isolated: make(map[string]bool),
 	}
 }
 
@@ -93,6 +94,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if n.cut(machine, other) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		here, there := net.Pipe()
 		select {
 		case <-ctx.Done():
@@ -105,6 +110,13 @@
 	}
 }
 
+// cut reports that nothing goes from one machine to another.
+func (n *Network) cut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isolated[from] || n.isolated[to]
+}
+
 func (n *Network) join(conn net.Conn, from, to string) *networkConn {
 	joined := &networkConn{Conn: conn, network: n, from: from, to: to}
 	n.mu.Lock()
@@ -189,6 +201,22 @@
 
 func (l *networkListener) Addr() net.Addr { return l.address }
 
+// Isolate cuts a machine off from all others, without a word: its connections are broken,
+// and what is sent to it or by it is lost.
+func (n *Network) Isolate(machine string) {
+	n.mu.Lock()
+	n.isolated[machine] = true
+	n.mu.Unlock()
+	n.BreakAll(machine)
+}
+
+// Join ends what Isolate began.
+func (n *Network) Join(machine string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.isolated, machine)
+}
+
 // networkConn is one end of a connection.
 type networkConn struct {
 	net.Conn
@@ -211,6 +239,9 @@
 	return written, nil
 }
 
+// RemoteAddr returns the other end's machine.
+func (c *networkConn) RemoteAddr() net.Addr { return networkAddress(c.to) }
+
 // Close closes both ends.
 func (c *networkConn) Close() error {
 	c.network.mu.Lock()
--- a/fake/server.go
+++ b/fake/server.go
@@ -65,6 +65,8 @@
 	// Orders names the headers that it came with which only this system may set: a caller
 	// that sends them gives the target orders.
 	Orders []string
+	// From is the address that it came from.
+	From string
 	// At is when it began.
 	At time.Time
 	// Bad says that a fault of a bad version met it.
@@ -203,6 +205,7 @@
 		Path:      r.RequestURI,
 		Method:    r.Method,
 		Orders:    ordersIn(r.Header),
+		From:      r.RemoteAddr,
 		At:        time.Now(),
 	}
 	s.mu.Lock()
--- a/node/build.go
+++ b/node/build.go
@@ -83,6 +83,9 @@
 	}
 	n.crashKeeper.Init()
 	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec}
+	if _, system := n.Sockets.(*systemSockets); !system {
+		n.upstream.Dial = n.Sockets.Dial
+	}
 	n.witness = &crashes.Witness{
 		Clock: n.Clock, Log: logger, Record: n.crashes, Reach: n.upstream.Reach, Target: n.catalog.Target,
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -78,6 +78,8 @@
 type Client struct {
 	Clock shelfshelf.Clock
 	Codec shelfshelf.CallCodec
+	// Dial opens a connection; nil means the operating system's way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -136,11 +138,7 @@
 			return kept, nil
 		}
 	}
-	dialer := net.Dialer{
-		Timeout:         DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-	}
-	dialed, err := dialer.DialContext(ctx, "tcp", address)
+	dialed, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -154,6 +152,16 @@
 	return &conn{Conn: dialed, reader: bufio.NewReaderSize(dialed, bufferBytes)}, nil
 }
 
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	if c.Dial != nil {
+		return c.Dial(ctx, "tcp", address)
+	}
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func (c *Client) takeIdle(address string) *conn {
 	now := c.Clock.Now()
 	for {
