A limit that a target announces is kept by all instances together

What callers saw: nothing; their targets did.

Cause: nothing read the word. The class: a bound that holds over all instances, which only a target's answer tells, and answers were read by the request that they belong to, for itself.

Why it holds: every head of an answer that is read is told to one record (package announced), whoever's answer it is; instances tell each other, and each ask for a place carries what the asker knows. Of a target with a limit the owner alone gives places, plain services included, one by one as the limit comes due. Only the true owner is asked, however silent it is; an instance that isn't gives nothing; a new one begins with none to give; one that hears a part of its data centre gives that part. Nothing is taken without an owner's word. So no restart, silence or cut adds to the sum, and limits below one request an instance hold. Who is told to wait tries other targets, which doesn't count against the eight that it asks.

--- /dev/null
+++ b/announced/doc.go
@@ -0,0 +1,8 @@
+// Package announced knows the limits that targets announce: how many requests a second one
+// takes from all instances together, for as long as its answers say so.
+//
+// Every answer that this instance reads is told to the Record, whoever asked for it, and
+// instances tell each other what they know with their statuses and with each ask for a place.
+// A Gate gives out sends at a rate; the owner of a target's places keeps one for each target
+// with a limit (package places).
+package announced
--- /dev/null
+++ b/announced/record_test.go
@@ -0,0 +1,164 @@
+package announced_test
+
+import (
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/announced"
+)
+
+const target shelfshelf.TargetName = "t"
+
+var key = shelfshelf.KeyOfTarget(target)
+
+func named(perSecond float64) shelfshelf.Answer {
+	return shelfshelf.Answer{Limit: shelfshelf.RateLimit{Named: true, PerSecond: perSecond}}
+}
+
+func newRecord(clock shelfshelf.Clock) *announced.Record {
+	return &announced.Record{
+		Clock: clock, Log: log.New(io.Discard), Changed: func(shelfshelf.TargetKey, bool) {},
+	}
+}
+
+// perSecond returns a target's limit as a record knows it; -1 if there is none.
+func perSecond(r *announced.Record) float64 {
+	told := r.Limit(key)
+	if !told.Limit.Named {
+		return -1
+	}
+	return told.Limit.PerSecond
+}
+
+// A limit ends with the first answer without one whose request was sent after it was known:
+// heads of answers that are older may come later.
+func TestLimitsEndWithAnAnswerThatKnowsBetter(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRecord(clock)
+	before := clock.Now()
+	clock.Advance(time.Second)
+	r.Answered(target, named(1.5), before)
+	r.Answered(target, shelfshelf.Answer{}, before)
+	if got := perSecond(r); got != 1.5 {
+		t.Errorf("after an answer to an older request: %v", got)
+	}
+	clock.Advance(time.Second)
+	r.Answered(target, shelfshelf.Answer{LimitUnread: true}, clock.Now())
+	r.Answered(target, shelfshelf.Answer{OtherTarget: true}, clock.Now())
+	if got := perSecond(r); got != 1.5 {
+		t.Errorf("after a word that can't be read, and one of another target: %v", got)
+	}
+	r.Answered(target, shelfshelf.Answer{}, clock.Now())
+	if got := perSecond(r); got != -1 {
+		t.Errorf("after an answer without a limit: %v", got)
+	}
+}
+
+// A target that starts again under its name has announced nothing, and one that isn't listed
+// any more is forgotten.
+func TestLimitsBelongToALife(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRecord(clock)
+	r.Targets([]shelfshelf.Target{{Name: target, Born: time.Unix(1, 0)}})
+	r.Answered(target, named(2), clock.Now())
+	r.Targets([]shelfshelf.Target{{Name: target, Born: time.Unix(1, 0)}})
+	if got := perSecond(r); got != 2 {
+		t.Errorf("in the same life: %v", got)
+	}
+	r.Targets([]shelfshelf.Target{{Name: target, Born: time.Unix(2, 0)}})
+	if got := perSecond(r); got != -1 {
+		t.Errorf("in its second life: %v", got)
+	}
+	clock.Advance(2 * time.Minute)
+	r.Targets(nil)
+	if told := r.Told(); len(told) != 0 {
+		t.Errorf("%+v", told)
+	}
+}
+
+// Statuses have room for a part only: a change goes first, and all others have their turn.
+func TestManyLimitsAreToldInTurn(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRecord(clock)
+	const count = 100
+	for i := range count {
+		r.Heard([]shelfshelf.TargetLimit{{Target: shelfshelf.TargetKey(i + 1), Version: 1, Limit: shelfshelf.RateLimit{Named: true, PerSecond: 1}}})
+	}
+	clock.Advance(5 * time.Second)
+	r.Answered(target, named(3), clock.Now())
+	seen := make(map[shelfshelf.TargetKey]bool)
+	for range 7 {
+		told := r.Told()
+		if len(told) > 16 || !slices.ContainsFunc(told, func(l shelfshelf.TargetLimit) bool { return l.Target == key }) {
+			t.Errorf("%d words, the change is not among them: %+v", len(told), told)
+		}
+		for _, limit := range told {
+			seen[limit.Target] = true
+		}
+	}
+	if len(seen) != count+1 {
+		t.Errorf("%d of %d were told in 7 statuses", len(seen), count+1)
+	}
+}
+
+// However words are lost, repeated and come in another order, instances that have heard the
+// same say the same, and the word that was read last by one that knew all others counts.
+func TestInstancesAgreeOnLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		records := make([]*announced.Record, 4)
+		for i := range records {
+			records[i] = newRecord(clock)
+		}
+		var sent [][]shelfshelf.TargetLimit
+		pick := rapid.IntRange(0, len(records)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"read": func(t *rapid.T) {
+				answer := shelfshelf.Answer{}
+				if rapid.Bool().Draw(t, "named") {
+					answer = named(rapid.Float64Range(0, 9).Draw(t, "limit"))
+				}
+				clock.Advance(time.Millisecond)
+				records[pick.Draw(t, "by")].Answered(target, answer, clock.Now())
+			},
+			"tell": func(t *rapid.T) {
+				sent = append(sent, records[pick.Draw(t, "from")].Told())
+			},
+			"hear": func(t *rapid.T) {
+				if len(sent) > 0 {
+					records[pick.Draw(t, "to")].Heard(sent[rapid.IntRange(0, len(sent)-1).Draw(t, "word")])
+				}
+			},
+		})
+		for range 2 {
+			for _, from := range records {
+				for _, to := range records {
+					to.Heard(from.Told())
+				}
+			}
+		}
+		for _, r := range records[1:] {
+			if diff := cmp.Diff(records[0].Told(), r.Told()); diff != "" {
+				t.Fatal(diff)
+			}
+		}
+		clock.Advance(time.Millisecond)
+		last := rapid.Float64Range(10, 20).Draw(t, "last")
+		records[0].Answered(target, named(last), clock.Now())
+		for _, r := range records {
+			r.Heard(records[0].Told())
+			r.Heard(append([]shelfshelf.TargetLimit(nil), records[1].Told()...))
+			if perSecond(r) != last {
+				t.Fatalf("%v, not %v", perSecond(r), last)
+			}
+		}
+	})
+}
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -80,6 +80,9 @@
 	Places shelfshelf.Places
 	// Rollouts says which versions of targets requests go to; nil means any.
 	Rollouts shelfshelf.Rollouts
+	// Limits knows what targets have announced; nil means nothing. Those with a limit get
+	// only what their owners give, so that without Places they get nothing.
+	Limits shelfshelf.AnnouncedLimits
 
 	mu      sync.Mutex
 	pools   map[shelfshelf.PoolName]*pool
@@ -147,6 +150,7 @@
 		state.slots = max(target.Slots, 1)
 		b.targets[target.Name] = state
 		state.key = shelfshelf.KeyOfTarget(target.Name)
+		b.recallLimit(state)
 		b.keys[state.key] = state
 		if p := b.pools[target.Pool]; p != nil {
 			state.engine = p.spec.Engine != nil
@@ -189,7 +193,7 @@
 		}
 		return lease, err
 	}
-	return b.acquireAlone(ctx, need)
+	return b.acquirePlain(ctx, need)
 }
 
 // owned reports that owners give out the places of a pool: its targets are engines,
@@ -233,7 +237,7 @@
 // waits: to refuse it at once serves its caller best.
 func (p *pool) hopeless(need Need) bool {
 	for _, t := range p.targets {
-		if !t.target.Leaving && !slices.Contains(need.Avoid, t.target.Name) && allowed(need.choice, t) {
+		if t.fits(need) {
 			return false
 		}
 	}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -83,13 +83,18 @@
 
 // open reports that a target may get this request at all.
 func (t *targetState) open(need Need, now time.Time) bool {
-	return !t.target.Leaving && !now.Before(t.restUntil) && !slices.Contains(need.Avoid, t.target.Name) &&
-		allowed(need.choice, t)
+	return t.fits(need) && !now.Before(t.restUntil) && !now.Before(t.pacedUntil)
 }
 
-// usable reports that a target may get this request now.
+// fits reports that a target may ever get this request.
+func (t *targetState) fits(need Need) bool {
+	return !t.target.Leaving && !slices.Contains(need.Avoid, t.target.Name) && allowed(need.choice, t)
+}
+
+// usable reports that a target may get this request now without an owner's word, as none with
+// a limit may: 85 instances that send one each within 4 s are 85.
 func (t *targetState) usable(need Need, now time.Time) bool {
-	return t.open(need, now) && t.load(now).requests < t.places(need)
+	return !t.limited() && t.open(need, now) && t.load(now).requests < t.places(need)
 }
 
 // places is how many requests a target may have with this one. An engine keeps some for
--- /dev/null
+++ b/balance/limited.go
@@ -0,0 +1,189 @@
+package balance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+const (
+	// silentOwnerPause is how long the owner of a target with a limit is not asked again that
+	// has not answered: each ask costs a request up to 40 ms, and the target stays its own
+	// until the others no longer hear it.
+	silentOwnerPause = 250 * time.Millisecond
+	// leastAskPause keeps a waiting request from asking an owner without a pause.
+	leastAskPause = time.Millisecond
+)
+
+// limited reports that the target has announced a limit, as far as is known here.
+func (t *targetState) limited() bool { return t.limit.Limit.Named }
+
+// LimitChanged takes a change of what a target has announced.
+func (b *Balancer) LimitChanged(key shelfshelf.TargetKey) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.keys[key]
+	if t == nil {
+		return
+	}
+	b.recallLimit(t)
+	if p := b.pools[t.target.Pool]; p != nil && !t.limited() {
+		b.pump(p, b.Clock.Now())
+	}
+}
+
+// recallLimit notes what is known of a target's limit; the lock is held.
+func (b *Balancer) recallLimit(t *targetState) {
+	if b.Limits == nil {
+		return
+	}
+	t.limit = b.Limits.Limit(t.key)
+	if !t.limited() {
+		t.pacedUntil = time.Time{}
+	}
+}
+
+// Where returns the data centre of a target; false if it is unknown.
+func (b *Balancer) Where(key shelfshelf.TargetKey) (shelfshelf.DataCentre, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.keys[key]; t != nil {
+		return t.target.DataCentre, true
+	}
+	return "", false
+}
+
+// acquirePlain waits for a place at a plain service. Its targets need no owner but for those
+// with a limit, which is kept by one instance for all.
+func (b *Balancer) acquirePlain(ctx context.Context, need Need) (lease *Lease, err error) {
+	a := b.newAsking(need)
+	some, only := a.limits()
+	if !some {
+		return b.acquireAlone(ctx, need)
+	}
+	defer func() { a.leaveLines(lease != nil) }()
+	lease = a.askWhile(ctx, a.chooseIfLimited)
+	switch {
+	case lease != nil:
+		return lease, nil
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	case only:
+		return a.wait(ctx)
+	}
+	return b.acquireAlone(ctx, need)
+}
+
+// limits reports whether some, and whether all, of the targets that the request may go to have
+// a limit.
+func (a *asking) limits() (some, only bool) {
+	b := a.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[a.need.Pool]
+	if p == nil || b.Places == nil {
+		return false, false
+	}
+	only = true
+	for _, t := range p.targets {
+		if t.fits(a.need) {
+			some = some || t.limited()
+			only = only && t.limited()
+		}
+	}
+	return some, some && only
+}
+
+// askWhile asks the owners of the targets that are chosen, one after the other.
+func (a *asking) askWhile(ctx context.Context, choose func() *targetState) *Lease {
+	for range asksAtMost {
+		t := choose()
+		if t == nil {
+			return nil
+		}
+		if lease := a.ask(ctx, t); lease != nil || ctx.Err() != nil {
+			return lease
+		}
+	}
+	return nil
+}
+
+// chooseIfLimited returns a target of a plain service with a limit that does well enough for
+// the request, else the best target if it is one with a limit. Those that do well enough go
+// first: one of 36 instances hears of a target of 1.5 a second every 24 s, so that a single
+// slow answer kept it from its due (2 to 4 of 12 requests, simulated).
+func (a *asking) chooseIfLimited() *targetState {
+	safe := time.Duration(safeShare * float64(a.need.Goal))
+	best := a.chooseFrom(func(t *targetState, now time.Time) bool {
+		b := a.balancer
+		return t.limited() && !slices.Contains(a.tried, t) && b.cost(b.pools[a.need.Pool], t, a.need, now) <= safe
+	})
+	if best == nil {
+		best = a.chooseFrom(func(t *targetState, now time.Time) bool {
+			return (t.limited() || t.usable(a.need, now)) && !slices.Contains(a.tried, t)
+		})
+	}
+	if best == nil || !best.limited() {
+		return nil
+	}
+	a.tried = append(a.tried, best)
+	return best
+}
+
+// chooseLimited returns the best target with a limit that the request does not wait for yet.
+func (a *asking) chooseLimited() *targetState {
+	best := a.chooseFrom(func(t *targetState, _ time.Time) bool { return t.limited() && !a.waitsAt(t) })
+	if best != nil {
+		a.tried = append(a.tried, best)
+	}
+	return best
+}
+
+func (a *asking) waitsAt(t *targetState) bool {
+	for _, other := range a.waits {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
+
+// again returns a channel that receives once a target with a limit may have room for another
+// request; nil where there is none.
+func (a *asking) again() <-chan time.Time {
+	b := a.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[a.need.Pool]
+	if p == nil {
+		return nil
+	}
+	var soonest time.Time
+	for _, t := range p.targets {
+		if !t.limited() || !t.fits(a.need) || a.waitsAt(t) {
+			continue
+		}
+		at := t.pacedUntil
+		if t.restUntil.After(at) {
+			at = t.restUntil
+		}
+		if soonest.IsZero() || at.Before(soonest) {
+			soonest = at
+		}
+	}
+	if soonest.IsZero() {
+		return nil
+	}
+	return b.Clock.After(max(soonest.Sub(b.Clock.Now()), leastAskPause))
+}
+
+// passBy gives up an ask of a target with a limit whose owner doesn't answer, and leaves the
+// target alone for a while.
+func (a *asking) passBy(t *targetState, id shelfshelf.PlaceID) *Lease {
+	a.resting++
+	a.balancer.Places.Leave(id, false)
+	a.balancer.hearRest(t, silentOwnerPause)
+	return nil
+}
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -32,20 +32,25 @@
 	// waits are the lines that the request stands in, as far as is known: some owners may
 	// not have answered yet.
 	waits map[shelfshelf.PlaceID]*targetState
-	// answered counts the owners that have, resting those that said that their engine rests.
+	// answered counts the owners that have, resting those that said that their engine gets nothing
+	// yet.
 	answered int
 	resting  int
 }
 
-// acquireOwned asks owners for a place at the engines that look best, in turn, and
-// waits in the lines of those that are full.
-func (b *Balancer) acquireOwned(ctx context.Context, need Need) (lease *Lease, err error) {
-	a := &asking{
+func (b *Balancer) newAsking(need Need) *asking {
+	return &asking{
 		balancer: b,
 		need:     need,
 		granted:  make(chan shelfshelf.PlaceID, asksAtMost),
 		waits:    make(map[shelfshelf.PlaceID]*targetState),
 	}
+}
+
+// acquireOwned asks owners for a place at the engines that look best, in turn, and
+// waits in the lines of those that are full.
+func (b *Balancer) acquireOwned(ctx context.Context, need Need) (lease *Lease, err error) {
+	a := b.newAsking(need)
 	defer func() { a.leaveLines(lease != nil) }()
 	for len(a.tried)-a.resting < asksAtMost && a.resting < restingAtMost {
 		if len(a.tried) > 0 && !b.Clock.Now().Before(need.WaitUntil) {
@@ -63,7 +68,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	if a.answered == 0 {
+	if _, only := a.limits(); a.answered == 0 && !only {
 		// No owner answers: this instance decides by what it knows.
 		lease, err := b.acquireAlone(ctx, need)
 		if err == nil {
@@ -76,6 +81,15 @@
 
 // choose returns the best engine that was not tried yet, free or not.
 func (a *asking) choose() *targetState {
+	best := a.chooseFrom(func(t *targetState, _ time.Time) bool { return !slices.Contains(a.tried, t) })
+	if best != nil {
+		a.tried = append(a.tried, best)
+	}
+	return best
+}
+
+// chooseFrom returns the best target that is open and fits, and makes the ask for its owner.
+func (a *asking) chooseFrom(fits func(t *targetState, now time.Time) bool) *targetState {
 	b := a.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -86,10 +100,9 @@
 	}
 	b.look(now)
 	best := b.cheapest(p, a.need, now, func(t *targetState) bool {
-		return t.open(a.need, now) && !slices.Contains(a.tried, t)
+		return t.open(a.need, now) && fits(t, now)
 	})
 	if best != nil {
-		a.tried = append(a.tried, best)
 		a.next = shelfshelf.PlaceAsk{
 			Target:     best.key,
 			DataCentre: best.target.DataCentre,
@@ -98,6 +111,7 @@
 			Tier:       a.need.Tier,
 			Stay:       p.expectStay(best, a.need, b.unread(best, a.need, now), now),
 			Wait:       max(a.need.WaitUntil.Sub(now), 0),
+			Limit:      best.limit,
 		}
 	}
 	return best
@@ -118,6 +132,9 @@
 		a.waits[answer.ID] = t
 		return nil
 	case shelfshelf.PlaceUnanswered:
+		if a.next.Limit.Limit.Named {
+			return a.passBy(t, answer.ID)
+		}
 		a.waits[answer.ID] = t
 		return nil
 	case shelfshelf.PlaceRests:
@@ -126,6 +143,9 @@
 		b.hearRest(t, answer.Rest)
 		return nil
 	case shelfshelf.PlaceUnknown:
+		if a.next.Limit.Limit.Named {
+			return a.passBy(t, answer.ID)
+		}
 	}
 	return a.takeAlone(t)
 }
@@ -183,6 +203,10 @@
 			if lease := a.take(t, id); lease != nil {
 				return lease, nil
 			}
+		case <-a.again():
+			if lease := a.askWhile(ctx, a.chooseLimited); lease != nil {
+				return lease, nil
+			}
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-timeout:
@@ -211,7 +235,11 @@
 func (b *Balancer) hearRest(t *targetState, left time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if until := b.Clock.Now().Add(left); until.After(t.restUntil) {
+	until := b.Clock.Now().Add(left)
+	switch {
+	case t.limited():
+		t.pacedUntil = until
+	case until.After(t.restUntil):
 		t.restUntil = until
 	}
 }
--- a/balance/target.go
+++ b/balance/target.go
@@ -74,6 +74,10 @@
 	// restUntil keeps new work away after the target could not be reached.
 	restUntil time.Time
 	rest      time.Duration
+	// limit is what the target has announced, and pacedUntil keeps its owner from being asked
+	// again before the limit allows another request.
+	limit      shelfshelf.TargetLimit
+	pacedUntil time.Time
 }
 
 // load is what is in flight at a target.
--- a/balance/version.go
+++ b/balance/version.go
@@ -46,7 +46,7 @@
 // is none.
 func (b *Balancer) tryVersion(ctx context.Context, need Need) *Lease {
 	need.WaitUntil = b.Clock.Now().Add(trialWait)
-	acquire := b.acquireAlone
+	acquire := b.acquirePlain
 	if b.owned(need.Pool) {
 		acquire = b.acquireOwned
 	}
--- a/call.go
+++ b/call.go
@@ -71,15 +71,6 @@
 	LimitUnread bool
 }
 
-// RateLimit is what a target takes from all instances together, for as long as its answers
-// say so.
-type RateLimit struct {
-	// Named says that there is a limit.
-	Named bool
-	// PerSecond is how many requests a second it takes.
-	PerSecond float64
-}
-
 // CallCodec reads and writes the headers of calls and answers.
 type CallCodec interface {
 	// Call reads what a caller says; the error is ErrBadCall.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -313,6 +313,7 @@
 	}
 	response, err := c.server.Upstream.Send(ctx, lease.Target.Address, upstream.Request{
 		ID:     c.call.ID,
+		To:     lease.Target.Name,
 		Method: c.http.Method,
 		Target: c.http.RequestURI,
 		Host:   c.http.Host,
--- a/gossip/aggregate.go
+++ b/gossip/aggregate.go
@@ -168,3 +168,23 @@
 }
 
 func hashOf(id shelfshelf.InstanceID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// HeardShare returns which part of the instances of this data centre are heard, this one
+// included: of those that there have been within the last 30 s and that have not said that they
+// stop.
+func (n *Node) HeardShare() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	known, heard := 1, 1
+	for _, p := range n.peers {
+		if !n.local(p.instance) || p.dormant || p.instance.State == shelfshelf.InstanceLeaving {
+			continue
+		}
+		known++
+		if n.fresh(p, now) {
+			heard++
+		}
+	}
+	return float64(heard) / float64(known)
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -63,6 +63,10 @@
 					Barred: []shelfshelf.TargetVersion{"v0", "v1"},
 				}},
 				OrdersAsOf: rapid.Uint64().Draw(t, "orders as of"),
+				Limits: []shelfshelf.TargetLimit{{
+					Target: 3, Version: rapid.Uint64().Draw(t, "limit"),
+					Limit: shelfshelf.RateLimit{Named: rapid.Bool().Draw(t, "named"), PerSecond: rapid.Float64Range(0, 1e6).Draw(t, "a second")},
+				}},
 				Digests: []shelfshelf.Digest{{
 					DataCentre: "y", Age: time.Second, Instances: 3, Loads: loads,
 					Members: []shelfshelf.Member{{
--- a/node/build.go
+++ b/node/build.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/announced"
 	"github.com/shelfshelf/shelfshelf/balance"
 	"github.com/shelfshelf/shelfshelf/catalog"
 	"github.com/shelfshelf/shelfshelf/crashes"
@@ -31,12 +32,14 @@
 		Follow: n.follow, Begin: n.readsAtStart, Pace: n.pace, Changed: n.changed,
 		ConfirmPeriod: func() time.Duration { return n.leaseShare(confirmShare) },
 	}
+	n.limits = &announced.Record{Clock: n.Clock, Log: n.Log.WithPrefix("limits"), Changed: n.limitChanged}
 	n.balancer = &balance.Balancer{
 		Clock:      n.Clock,
 		DataCentre: n.Settings.DataCentre,
 		Self:       n.Settings.Instance,
 		Fleet:      n,
 		Rollouts:   n.rollouts,
+		Limits:     n.limits,
 	}
 	n.rollouts.Running = n.balancer.Running
 	n.quota = &quota.Ledger{
@@ -82,13 +85,14 @@
 		},
 	}
 	n.crashKeeper.Init()
-	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec}
+	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec, Answered: n.limits.Answered}
 	if _, system := n.Sockets.(*systemSockets); !system {
 		n.upstream.Dial = n.Sockets.Dial
 	}
 	n.witness = &crashes.Witness{
 		Clock: n.Clock, Log: logger, Record: n.crashes, Reach: n.upstream.Reach, Target: n.catalog.Target,
 	}
+	n.metrics.Gauge("shelf_targets_limited", func() float64 { return float64(n.limits.Limited()) })
 	n.metrics.Gauge("shelf_requests_held_back", func() float64 { return float64(n.crashes.HeldBack()) })
 }
 
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -31,3 +31,10 @@
 	_, held := n.crashes.Held(request, "r")
 	return held
 }
+
+// OwnsTarget reports that one gives out the places of a target.
+func OwnsTarget(n *Node, target shelfshelf.TargetName) bool {
+	key := shelfshelf.KeyOfTarget(target)
+	centre, known := n.balancer.Where(key)
+	return known && n.places.Owns(key, centre)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/announced"
 	"github.com/shelfshelf/shelfshelf/balance"
 	"github.com/shelfshelf/shelfshelf/catalog"
 	"github.com/shelfshelf/shelfshelf/crashes"
@@ -85,9 +86,11 @@
 	// Sockets is the machine's network; nil means the operating system's.
 	Sockets shelfshelf.Sockets
 
-	catalog     *catalog.Catalog
-	balancer    *balance.Balancer
-	places      *places.Client
+	catalog  *catalog.Catalog
+	balancer *balance.Balancer
+	places   *places.Client
+	// limits is what targets have announced of the requests that they take.
+	limits      *announced.Record
 	gossip      *gossip.Node
 	relay       *relay.Relay
 	quota       *quota.Ledger
@@ -195,6 +198,7 @@
 	}
 	targets := n.catalog.Targets()
 	n.rollouts.Targets(targets.Targets, targets.Version)
+	n.limits.Targets(targets.Targets)
 	n.balancer.SetTargets(index.Bundle.Pools, targets.Targets)
 	if !n.gossip.Local(from) {
 		n.gossip.Kick()
--- a/node/places.go
+++ b/node/places.go
@@ -23,7 +23,8 @@
 		Candidates: n.gossip.Members,
 		Send:       n.gossip.SendOther,
 	}
-	n.places.Book = &places.Book{Clock: n.Clock, Capacity: n.capacity, Grant: n.places.Grant}
+	n.places.HeardLimit = func(told shelfshelf.TargetLimit) { n.limits.Heard([]shelfshelf.TargetLimit{told}) }
+	n.places.Book = &places.Book{Clock: n.Clock, Capacity: n.capacity, Pace: n.pacing, Grant: n.places.Grant}
 	n.gossip.Other = n.places.Receive
 	n.gossip.OtherMarker = places.Marker
 	n.balancer.Places = n.places
@@ -35,3 +36,31 @@
 	slots, told, known := n.balancer.Capacity(key)
 	return places.Capacity{Slots: slots, Told: told}, known
 }
+
+// leastPace is how many requests a second a target with a limit gets at least, also where it
+// takes none: only an answer says that the limit is over.
+const leastPace = 0.2
+
+// pacing returns how many requests a second this instance may give a target with a limit. Only
+// its owner gives any; and as much of the limit as it hears of its data centre, so that the
+// parts of one that is cut, each with an owner, don't give more together.
+func (n *Node) pacing(key shelfshelf.TargetKey) (perSecond float64, limited bool) {
+	told := n.limits.Limit(key)
+	if !told.Limit.Named {
+		return 0, false
+	}
+	centre, known := n.balancer.Where(key)
+	if !known || !n.places.Owns(key, centre) {
+		return 0, true
+	}
+	return max(told.Limit.PerSecond*n.gossip.HeardShare(), leastPace), true
+}
+
+// limitChanged hands a change of a target's limit to the balancer, and tells the others at
+// once of what was read here.
+func (n *Node) limitChanged(target shelfshelf.TargetKey, tell bool) {
+	n.balancer.LimitChanged(target)
+	if tell {
+		n.gossip.Kick()
+	}
+}
--- a/places.go
+++ b/places.go
@@ -21,8 +21,8 @@
 	// PlaceUnanswered means that the owner has not answered yet; the ask stands, and its
 	// place may still come.
 	PlaceUnanswered
-	// PlaceRests means that the engine could not be reached lately and gets nothing yet;
-	// the ask does not stand in its line.
+	// PlaceRests means that the target gets nothing yet, since it could not be reached lately
+	// or has announced a limit; the ask does not stand in its line.
 	PlaceRests
 )
 
@@ -41,6 +41,9 @@
 	Stay time.Duration
 	// Wait is how long the ask stands in line.
 	Wait time.Duration
+	// Limit is what the asker knows of the target's limit: its owner, and no other instance,
+	// gives the places of a target with a limit, which it may not have heard of yet.
+	Limit TargetLimit
 }
 
 const (
--- a/places/book.go
+++ b/places/book.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/announced"
 )
 
 const (
@@ -42,6 +43,10 @@
 	Clock shelfshelf.Clock
 	// Capacity returns what is known of an engine; false if it is unknown here.
 	Capacity func(shelfshelf.TargetKey) (Capacity, bool)
+	// Pace returns how many requests a second this instance may give an engine that has
+	// announced a limit, 0 if that is another one's to do; false if it has announced none. Nil
+	// means that none has.
+	Pace func(shelfshelf.TargetKey) (perSecond float64, limited bool)
 	// Grant tells a holder that an ask of its has left the line; it is called outside
 	// locks.
 	Grant func(holder Holder, id shelfshelf.PlaceID, requests int)
@@ -61,6 +66,8 @@
 	// lengths is how well asks of each length were served lately.
 	lengths lengths
 	rest    rest
+	// gate gives out the sends of an engine that has announced a limit, else it is nil.
+	gate *announced.Gate
 }
 
 type placeKey struct {
@@ -93,7 +100,8 @@
 	b.note(holder, now)
 	key := placeKey{holder: holder, id: id}
 	_, asked := b.where[key]
-	if left := e.rest.left(now); left > 0 && !asked {
+	b.pace(ask.Target, e, now)
+	if left := e.closed(now); left > 0 && !asked {
 		requests := len(e.held)
 		b.mu.Unlock()
 		return shelfshelf.PlaceAnswer{ID: id, Outcome: shelfshelf.PlaceRests, Requests: requests, Rest: left}
@@ -209,7 +217,8 @@
 			}
 		}
 		grants = append(grants, b.advance(target, e, now)...)
-		if len(e.held) == 0 && len(e.line) == 0 && now.Sub(e.since) > settleTime && now.After(e.rest.until.Add(lastRest)) {
+		b.pace(target, e, now)
+		if e.gate == nil && len(e.held) == 0 && len(e.line) == 0 && now.Sub(e.since) > settleTime && now.After(e.rest.until.Add(lastRest)) {
 			delete(b.engines, target)
 		}
 	}
@@ -267,15 +276,19 @@
 		return nil
 	}
 	capacity, known := b.Capacity(target)
+	b.pace(target, e, now)
 	var grants []grant
 	for len(e.line) > 0 {
 		at := e.lengths.next(e.line, now)
 		w := e.line[at]
-		if !known || e.rest.left(now) > 0 || e.free(capacity, w.ask, now) <= 0 {
+		if !known || e.closed(now) > 0 || e.free(capacity, w.ask, now) <= 0 {
 			return grants
 		}
 		e.held[w.key] = now
 		e.rest.let(w.key, now)
+		if e.gate != nil {
+			e.gate.Take()
+		}
 		e.lengths.note(w.ask, true, now)
 		grants = append(grants, grant{key: w.key, requests: len(e.held)})
 		e.line = slices.Delete(e.line, at, at+1)
@@ -283,6 +296,32 @@
 	return grants
 }
 
+// pace opens or closes the gate of an engine that has announced a limit; the lock is held.
+func (b *Book) pace(target shelfshelf.TargetKey, e *engine, now time.Time) {
+	if b.Pace == nil {
+		return
+	}
+	perSecond, limited := b.Pace(target)
+	if !limited {
+		e.gate = nil
+		return
+	}
+	if e.gate == nil {
+		e.gate = announced.NewGate(now)
+	}
+	e.gate.SetRate(perSecond, now)
+}
+
+// closed returns how long the engine gets nothing yet, since it rests or has had what its limit
+// allows; 0 if it may get a request.
+func (e *engine) closed(now time.Time) time.Duration {
+	left := e.rest.left(now)
+	if e.gate != nil {
+		left = max(left, e.gate.Left(now))
+	}
+	return left
+}
+
 // expire forgets asks whose time in line is over; the lock is held.
 func (b *Book) expire(e *engine, now time.Time) {
 	e.line = slices.DeleteFunc(e.line, func(w waiting) bool {
--- a/places/client.go
+++ b/places/client.go
@@ -35,6 +35,8 @@
 	// Candidates returns the instances of a data centre that may own engines, this one
 	// included if it is there.
 	Candidates func(shelfshelf.DataCentre) []shelfshelf.Member
+	// HeardLimit takes what the sender of an ask knows of its target's limit.
+	HeardLimit func(shelfshelf.TargetLimit)
 	// Send sends a datagram; what is lost is mended by the next sync.
 	Send func(to netip.AddrPort, content []byte)
 
@@ -63,7 +65,7 @@
 // Ask asks the engine's owner. One that is slow to answer stays the owner: with a second
 // one, an engine would have two books, each with its own places to give out.
 func (c *Client) Ask(ctx context.Context, ask shelfshelf.PlaceAsk, granted chan<- shelfshelf.PlaceID) shelfshelf.PlaceAnswer {
-	owner, found := c.owner(ask.Target, ask.DataCentre)
+	owner, found := c.ownerFor(ask)
 	if !found {
 		return shelfshelf.PlaceAnswer{}
 	}
@@ -231,6 +233,9 @@
 	holder := Holder{Address: from, Incarnation: m.incarnation}
 	switch m.kind {
 	case kindAsk:
+		if m.ask.Limit.Version > 0 {
+			c.HeardLimit(m.ask.Limit)
+		}
 		c.reply(holder, c.Book.Ask(holder, m.id, m.ask))
 	case kindGive:
 		c.Book.Release(holder, m.id)
--- a/places/owner.go
+++ b/places/owner.go
@@ -19,6 +19,16 @@
 	passOver = time.Second
 )
 
+// ownerFor returns whom to ask for a place: the instance that owns the engine, among those
+// that answer. Where the target has a limit only its owner is asked, however silent it is: the
+// next one would give out as many sends again.
+func (c *Client) ownerFor(ask shelfshelf.PlaceAsk) (netip.AddrPort, bool) {
+	if ask.Limit.Limit.Named {
+		return c.trueOwner(ask.Target, ask.DataCentre)
+	}
+	return c.owner(ask.Target, ask.DataCentre)
+}
+
 // owner returns the instance that owns an engine, among those that answer.
 func (c *Client) owner(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) (netip.AddrPort, bool) {
 	c.mu.Lock()
@@ -26,12 +36,28 @@
 	return c.ownerLocked(target, centre)
 }
 
+// trueOwner returns the instance that owns an engine, whether it answers or not.
+func (c *Client) trueOwner(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) (netip.AddrPort, bool) {
+	return highest(c.Candidates(centre), target, func(netip.AddrPort) bool { return true })
+}
+
+// Owns reports that this instance owns an engine.
+func (c *Client) Owns(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) bool {
+	owner, found := c.trueOwner(target, centre)
+	return found && owner == c.Self.Address
+}
+
 func (c *Client) ownerLocked(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) (netip.AddrPort, bool) {
 	now := c.Clock.Now()
+	return highest(c.Candidates(centre), target, func(owner netip.AddrPort) bool { return !c.passedOver(owner, now) })
+}
+
+// highest returns the candidate that ranks highest for an engine, of those that fit.
+func highest(candidates []shelfshelf.Member, target shelfshelf.TargetKey, fits func(netip.AddrPort) bool) (netip.AddrPort, bool) {
 	var best shelfshelf.Member
 	var bestScore uint64
-	for _, candidate := range c.Candidates(centre) {
-		if c.passedOver(candidate.Address, now) {
+	for _, candidate := range candidates {
+		if !fits(candidate.Address) {
 			continue
 		}
 		if ranked := score(candidate, target); !best.Address.IsValid() || ranked > bestScore {
--- a/places/wire.go
+++ b/places/wire.go
@@ -62,6 +62,15 @@
 		Requests    int
 		RestMillis  int64
 		Held        []wirePlace
+		Limit       wireLimit
+	}
+	// wireLimit is what the sender of an ask knows of its target's limit; version 0 where it
+	// knows of none.
+	wireLimit struct {
+		_         struct{} `cbor:",toarray"`
+		Named     bool
+		PerSecond float64
+		Version   uint64
 	}
 	wirePlace struct {
 		_      struct{} `cbor:",toarray"`
@@ -83,7 +92,10 @@
 		StayMillis:  m.ask.Stay.Milliseconds(),
 		Outcome:     uint8(m.outcome),
 		Requests:    m.requests,
-		RestMillis:  m.rest.Milliseconds(),
+		RestMillis:  ceilMillis(m.rest),
+		Limit: wireLimit{
+			Named: m.ask.Limit.Limit.Named, PerSecond: m.ask.Limit.Limit.PerSecond, Version: m.ask.Limit.Version,
+		},
 	}
 	for id, target := range m.held {
 		wire.Held = append(wire.Held, wirePlace{ID: uint64(id), Target: uint32(target)})
@@ -119,6 +131,10 @@
 		requests: wire.Requests,
 		rest:     time.Duration(wire.RestMillis) * time.Millisecond,
 	}
+	limit := shelfshelf.RateLimit{Named: wire.Limit.Named, PerSecond: wire.Limit.PerSecond}
+	if wire.Limit.Version > 0 && limit.Valid() {
+		m.ask.Limit = shelfshelf.TargetLimit{Target: m.ask.Target, Limit: limit, Version: wire.Limit.Version}
+	}
 	if len(wire.Held) > 0 {
 		m.held = make(map[shelfshelf.PlaceID]shelfshelf.TargetKey, len(wire.Held))
 	}
@@ -127,3 +143,8 @@
 	}
 	return m, nil
 }
+
+// ceilMillis rounds up: who asks again before a rest is over asks in vain.
+func ceilMillis(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- a/places/wire_test.go
+++ b/places/wire_test.go
@@ -31,6 +31,12 @@
 				return shelfshelf.PlaceID(rapid.Uint64().Draw(t, "held"))
 			}), rapid.Just(shelfshelf.TargetKey(3)), 1, 9).Draw(t, "list"),
 		}
+		if version := rapid.Uint64().Draw(t, "limit"); version > 0 {
+			sent.ask.Limit = shelfshelf.TargetLimit{
+				Target: sent.ask.Target, Version: version,
+				Limit: shelfshelf.RateLimit{Named: rapid.Bool().Draw(t, "named"), PerSecond: rapid.Float64Range(0, 1e6).Draw(t, "a second")},
+			}
+		}
 		content, err := encode(sent)
 		if err != nil {
 			t.Fatal(err)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -46,7 +46,9 @@
 
 // Request is one request as it goes to a target.
 type Request struct {
-	ID     shelfshelf.RequestID
+	ID shelfshelf.RequestID
+	// To is the target that the request is meant for.
+	To     shelfshelf.TargetName
 	Method string
 	// Target is the path and query as the caller sent them.
 	Target string
@@ -80,6 +82,9 @@
 	Codec shelfshelf.CallCodec
 	// Dial opens a connection; nil means the operating system's way.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Answered is told of the head of every answer that is read, with when its request was
+	// sent, also of late ones of other requests; nil means nobody.
+	Answered func(target shelfshelf.TargetName, answer shelfshelf.Answer, sent time.Time)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -192,6 +197,7 @@
 	if err != nil {
 		return nil, err
 	}
+	sent := c.Clock.Now()
 	if _, err := connection.Write(wire); err != nil {
 		return nil, err
 	}
@@ -205,7 +211,11 @@
 			continue
 		}
 		meaning := c.Codec.Answer(answer.StatusCode, answer.Header)
-		if meaning.ID == request.ID {
+		own := meaning.ID == request.ID
+		if c.Answered != nil && (own || meaning.Limit.Named) {
+			c.Answered(request.To, meaning, sent)
+		}
+		if own {
 			return &Response{
 				Status: answer.StatusCode,
 				Header: answer.Header,
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -26,7 +28,7 @@
 	}
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return c.nothingToRead()
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
@@ -42,6 +44,16 @@
 	return err == nil && quiet
 }
 
+// nothingToRead is quiet for connections without a socket: a read that waits for nothing finds
+// neither bytes nor an end.
+func (c *conn) nothingToRead() bool {
+	if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+	_, found := c.reader.Peek(1)
+	return errors.Is(found, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+}
+
 // setUserTimeout makes the kernel give a connection up when what was sent is not
 // acknowledged for so long: a target behind a cut says nothing at all.
 func setUserTimeout(connection net.Conn, limit time.Duration) error {
