A request waits for lines that it stands in only

What callers saw: with each data centre cut in two, and targets with limits on both sides, 10 to 15 of 1,178 streams were refused within 0.3 s of the cut though engines had places.

Cause: an owner's word that its target gets nothing yet counted as an answer. A request that had one, and no word of any other owner since these were behind the cut, waited for a place though it stood in no line, instead of deciding by what its instance knows. The same held for engines that rest since they can't be reached.

--- a/balance/owned.go
+++ b/balance/owned.go
@@ -32,8 +32,8 @@
 	// waits are the lines that the request stands in, as far as is known: some owners may
 	// not have answered yet.
 	waits map[shelfshelf.PlaceID]*targetState
-	// answered counts the owners that have, resting those that said that their engine gets nothing
-	// yet.
+	// answered counts the owners that gave a place or a place in line, resting the engines that
+	// get nothing yet.
 	answered int
 	resting  int
 }
@@ -138,7 +138,8 @@
 		a.waits[answer.ID] = t
 		return nil
 	case shelfshelf.PlaceRests:
-		a.answered++
+		// The ask stands in no line, so that it counts for no answer: waiting where no other
+		// owner answers, the request would wait for nothing.
 		a.resting++
 		b.hearRest(t, answer.Rest)
 		return nil
