Targets with limits where no instance runs have an owner elsewhere

Cause: their owner is an instance of their data centre, and without an owner's word they get nothing. Without a limit each instance decides for itself there.

--- a/fake/server.go
+++ b/fake/server.go
@@ -38,9 +38,6 @@
 	// before an answer and between events beside Slow.
 	FailShare float64
 	Late      time.Duration
-	// Limit is the header by which it names the requests a second that it takes from all
-	// together; empty means that it names none.
-	Limit string
 	// OnlyPath restricts FailShare and Late to requests whose paths begin so, and
 	// OnlyBeside to those that run beside so many others at least.
 	OnlyPath   string
@@ -52,13 +49,6 @@
 	return strings.HasPrefix(run.Path, f.OnlyPath) && beside >= f.OnlyBeside
 }
 
-// head names the limit.
-func (f ServerFaults) head(header http.Header) {
-	if f.Limit != "" {
-		header.Set("Server-Limit", f.Limit)
-	}
-}
-
 // Run is one request that a Server has begun to work on.
 type Run struct {
 	ID        string
@@ -111,6 +101,7 @@
 
 	mu     sync.Mutex
 	faults ServerFaults
+	limit  string
 	runs   []*Run
 }
 
@@ -121,6 +112,22 @@
 	s.faults = faults
 }
 
+// SetLimit has it name how many requests a second it takes from all together, a header's text;
+// empty means that it names none.
+func (s *Server) SetLimit(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = text
+}
+
+func (s *Server) nameLimit(header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit != "" {
+		header.Set("Server-Limit", s.limit)
+	}
+}
+
 // Runs returns the requests that it has begun to work on.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -149,7 +156,7 @@
 	s.mu.Lock()
 	faults := s.faults
 	s.mu.Unlock()
-	faults.head(w.Header())
+	s.nameLimit(w.Header())
 	if faults.Refuse {
 		w.Header().Set("X-Shelfshelf-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/gossip/aggregate.go
+++ b/gossip/aggregate.go
@@ -159,6 +159,35 @@
 	return members
 }
 
+// Substitutes returns the instances that give out what targets with limits take in a data centre
+// where no instance has been for 30 s: those of the first other one by name. There are none
+// where an instance may be, heard or not, since it may give out the same.
+func (n *Node) Substitutes(centre shelfshelf.DataCentre) []shelfshelf.Member {
+	first, empty := n.firstCentre(centre)
+	if !empty {
+		return nil
+	}
+	return n.Members(first)
+}
+
+// firstCentre returns the first data centre by name that has instances, and whether another one
+// has none.
+func (n *Node) firstCentre(other shelfshelf.DataCentre) (first shelfshelf.DataCentre, empty bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	first = n.Self.DataCentre
+	for _, p := range n.peers {
+		if p.dormant {
+			continue
+		}
+		if p.instance.DataCentre == other {
+			return "", false
+		}
+		first = min(first, p.instance.DataCentre)
+	}
+	return first, other != n.Self.DataCentre
+}
+
 // member returns a peer as a member of its data centre.
 func (p *peerState) member() shelfshelf.Member {
 	if p.hash == 0 {
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -67,16 +67,16 @@
 		"Services": []object{{"Name": "limited", "Engine": object{"Slots": 8, "Stride": 5}}, {"Name": "plain"}},
 	})
 	for i := range each {
-		p.serve(fmt.Sprint("e", i), "limited", i, 5)
-		p.serve(fmt.Sprint("p", i), "plain", i, 0)
+		p.serve(fmt.Sprint("e", i), "limited", centreOf(i), 5)
+		p.serve(fmt.Sprint("p", i), "plain", centreOf(i), 0)
 	}
 	l.untilReady(4 * time.Second)
 	time.Sleep(time.Second)
 	return p
 }
 
-func (p *limited) serve(name, service string, i, events int) {
-	ip := fmt.Sprintf("10.200.%d.%d", len(p.targets)+1, i+1)
+func (p *limited) serve(name, service, centre string, events int) {
+	ip := fmt.Sprintf("10.200.%d.1", len(p.targets)+1)
 	server := &fake.Server{ID: name, Events: events}
 	server.SetFaults(fake.ServerFaults{Slow: 10 * time.Millisecond})
 	process := &http.Server{Handler: server}
@@ -84,19 +84,19 @@
 	listener := p.network.Listen(ip, "80")
 	p.ended.Go(func() { _ = process.Serve(listener) })
 	p.targets[name] = server
-	p.put("servers", name, object{"Service": service, "Address": ip + ":80", "Zone": centreOf(i), "Slots": 8, "State": "ready"})
+	p.put("servers", name, object{"Service": service, "Address": ip + ":80", "Zone": centre, "Slots": 8, "State": "ready"})
 }
 
 // name has a target name a limit from now on.
 func (p *limited) name(target string, perSecond float64) {
 	p.limits[target] = perSecond
 	p.namedAt[target] = p.clock.Now()
-	p.targets[target].SetFaults(fake.ServerFaults{Slow: 10 * time.Millisecond, Limit: fmt.Sprint(perSecond)})
+	p.targets[target].SetLimit(fmt.Sprint(perSecond))
 }
 
 // unname ends a target's limit.
 func (p *limited) unname(target string) {
-	p.targets[target].SetFaults(fake.ServerFaults{Slow: 10 * time.Millisecond})
+	p.targets[target].SetLimit("")
 }
 
 // load sends requests of both kinds for a time, to instances that are not cut off; one in
@@ -375,6 +375,25 @@
 	})
 }
 
+// Targets with limits where no instance runs have an owner elsewhere: with none they would get
+// nothing, nor be asked whether their limits are over.
+func TestAnnouncedLimitsWhereNoInstanceRuns(t *testing.T) {
+	t.Parallel()
+	playLarge(t, 24, false, func(l *large) {
+		p := newLimited(l, 0)
+		for i := range 4 {
+			p.serve(fmt.Sprint("e", i), "limited", "elsewhere", 5)
+			p.serve(fmt.Sprint("p", i), "plain", "elsewhere", 0)
+		}
+		time.Sleep(time.Second)
+		p.name("e0", 10)
+		p.name("p0", 10)
+		p.load(limitContact + 2*limitWindow)
+		p.check()
+		p.checkServed(0.8)
+	})
+}
+
 // Each half of a data centre that is cut in two has owners of its own, which together give no
 // more than a limit allows.
 func TestAnnouncedLimitsHoldInPartsOfADataCentre(t *testing.T) {
--- a/node/places.go
+++ b/node/places.go
@@ -20,7 +20,7 @@
 		Clock:      n.Clock,
 		Log:        n.Log.WithPrefix("places"),
 		Self:       places.Holder{Address: address, Incarnation: n.gossip.Incarnation},
-		Candidates: n.gossip.Members,
+		Candidates: n.gossip.Members, Substitutes: n.gossip.Substitutes,
 		Send:       n.gossip.SendOther,
 	}
 	n.places.HeardLimit = func(told shelfshelf.TargetLimit) { n.limits.Heard([]shelfshelf.TargetLimit{told}) }
--- a/places/client.go
+++ b/places/client.go
@@ -35,6 +35,9 @@
 	// Candidates returns the instances of a data centre that may own engines, this one
 	// included if it is there.
 	Candidates func(shelfshelf.DataCentre) []shelfshelf.Member
+	// Substitutes returns the instances that own the targets with limits of a data centre where
+	// no instance runs; nil means that there are none.
+	Substitutes func(shelfshelf.DataCentre) []shelfshelf.Member
 	// HeardLimit takes what the sender of an ask knows of its target's limit.
 	HeardLimit func(shelfshelf.TargetLimit)
 	// Send sends a datagram; what is lost is mended by the next sync.
--- a/places/owner.go
+++ b/places/owner.go
@@ -36,12 +36,16 @@
 	return c.ownerLocked(target, centre)
 }
 
-// trueOwner returns the instance that owns an engine, whether it answers or not.
+// trueOwner returns the instance that owns a target with a limit, whether it answers or not.
 func (c *Client) trueOwner(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) (netip.AddrPort, bool) {
-	return highest(c.Candidates(centre), target, func(netip.AddrPort) bool { return true })
+	candidates := c.Candidates(centre)
+	if len(candidates) == 0 && c.Substitutes != nil {
+		candidates = c.Substitutes(centre)
+	}
+	return highest(candidates, target, func(netip.AddrPort) bool { return true })
 }
 
-// Owns reports that this instance owns an engine.
+// Owns reports that this instance owns a target with a limit.
 func (c *Client) Owns(target shelfshelf.TargetKey, centre shelfshelf.DataCentre) bool {
 	owner, found := c.trueOwner(target, centre)
 	return found && owner == c.Self.Address
