--- a/node/places.go
+++ b/node/places.go
@@ -21,7 +21,7 @@
 		Log:        n.Log.WithPrefix("places"),
 		Self:       places.Holder{Address: address, Incarnation: n.gossip.Incarnation},
 		Candidates: n.gossip.Members, Substitutes: n.gossip.Substitutes,
-		Send:       n.gossip.SendOther,
+		Send: n.gossip.SendOther,
 	}
 	n.places.HeardLimit = func(told shelfshelf.TargetLimit) { n.limits.Heard([]shelfshelf.TargetLimit{told}) }
 	n.places.Book = &places.Book{Clock: n.Clock, Capacity: n.capacity, Pace: n.pacing, Grant: n.places.Grant}
