--- a/fake/platform.go
+++ b/fake/platform.go
@@ -14,6 +14,9 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
+// headerEra tells in all answers how often the store has come back from an older copy.
+const headerEra = "Store-Era"
+
 // maxBlob bounds an object, in bytes.
 const maxBlob = 16 << 20
 
@@ -98,6 +101,7 @@
 		p.kinds[r.URL.Path+" "+r.URL.Query().Get("Table")]++
 		faults := p.faults
 		p.mu.Unlock()
+		w.Header().Set(headerEra, strconv.FormatUint(p.Rows.Era(), 10))
 		switch {
 		case faults.Reset:
 			panic(http.ErrAbortHandler)
@@ -240,6 +244,7 @@
 		case deaf:
 			rows, version = nil, after
 		case !known:
+			w.Header().Set(headerEra, strconv.FormatUint(p.Rows.Era(), 10))
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -252,6 +257,7 @@
 }
 
 func (p *Platform) answer(w http.ResponseWriter, status int, page wireRows) {
+	w.Header().Set(headerEra, strconv.FormatUint(p.Rows.Era(), 10))
 	page.NowMs = p.Clock.Now().Sub(p.started).Milliseconds() + 1
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/fake/rows.go
+++ b/fake/rows.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -45,6 +46,15 @@
 	// forgotten is the version up to which changes are no longer known.
 	forgotten uint64
 	changed   chan struct{}
+	// era rises each time the rows go back to a copy.
+	era uint64
+}
+
+// RowsCopy is all rows as they stood at one moment.
+type RowsCopy struct {
+	version   uint64
+	forgotten uint64
+	rows      map[RowID]StoredRow
 }
 
 // NewRows returns an empty store.
@@ -113,7 +123,7 @@
 func (r *Rows) Changes(table string, after uint64) (rows []StoredRow, version uint64, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if after < r.forgotten {
+	if after < r.forgotten || after > r.version {
 		return nil, r.version, false
 	}
 	for id, row := range r.rows {
@@ -145,3 +155,28 @@
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
+
+// Copy returns all rows as they stand.
+func (r *Rows) Copy() *RowsCopy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &RowsCopy{version: r.version, forgotten: r.forgotten, rows: maps.Clone(r.rows)}
+}
+
+// GoBack makes the rows stand as in a copy: what was written since is gone, and its versions
+// are given out again.
+func (r *Rows) GoBack(to *RowsCopy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.forgotten, r.rows = to.version, to.forgotten, maps.Clone(to.rows)
+	r.era++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Era returns how often the rows have gone back.
+func (r *Rows) Era() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
--- /dev/null
+++ b/node/era_test.go
@@ -0,0 +1,169 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shelfshelf/shelfshelf/fake"
+)
+
+// away is how long the store is away before it comes back from a copy.
+const away = 300 * time.Millisecond
+
+// goBack has the store be away for a moment and come back from a copy.
+func (f *fleet) goBack(to *fake.RowsCopy) {
+	f.platform.SetFaults(fake.PlatformFaults{Busy: true})
+	time.Sleep(away)
+	f.platform.Rows.GoBack(to)
+	f.platform.SetFaults(fake.PlatformFaults{})
+}
+
+// beat writes rows that change nothing, as heartbeats do.
+func (f *fleet) beat(count int) {
+	for i := range count {
+		f.platform.Put("servers", fmt.Sprint("beat", i), []byte(`{"Service":"none"}`))
+	}
+}
+
+func (f *fleet) addRoute(path string) {
+	f.routes = append(f.routes, object{
+		"Name": path, "Host": "h.example", "PathPrefix": path, "Kind": "idempotent", "TimeoutMs": 1000, "Service": "plain", "MaxAttempts": 1,
+	})
+	f.configure()
+}
+
+// got returns how many requests a target got of some that are sent to all instances at once, so
+// that each target gets its part.
+func (f *fleet) got(target *fake.Server) int {
+	for _, server := range f.servers {
+		server.SetFaults(fake.ServerFaults{Slow: 30 * time.Millisecond})
+	}
+	before := len(target.Runs())
+	var callers sync.WaitGroup
+	for _, n := range f.nodes {
+		for i := range 6 {
+			callers.Go(func() {
+				if got := f.ask(n, fmt.Sprint("g", i), "/many/", nil); got.status != http.StatusOK {
+					f.t.Errorf("%+v", got)
+				}
+			})
+		}
+	}
+	callers.Wait()
+	return len(target.Runs()) - before
+}
+
+// A store that comes back from a copy some seconds old gives out its versions again. Whoever
+// goes on from the version that it has seen last misses what is written below it, and whoever
+// takes the higher version for the newer list hears of no other one from those that read.
+func TestStoresThatComeBackOlderAreFollowed(t *testing.T) {
+	t.Parallel()
+	for name, overtakes := range map[string]bool{"below the last version": false, "past the last version at once": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.serve("p1", "plain", 0)
+			f.serve("p2", "plain", 0)
+			for range 3 {
+				f.start()
+			}
+			older := f.platform.Rows.Copy()
+			f.addRoute("/new/")
+			f.beat(40)
+			for _, n := range f.nodes {
+				f.eventually("the new route isn't served", func() bool { return f.ask(n, "r", "/new/", nil).status == http.StatusOK })
+			}
+			f.platform.SetFaults(fake.PlatformFaults{Busy: true})
+			time.Sleep(away)
+			f.platform.Rows.GoBack(older)
+			if !overtakes {
+				f.platform.SetFaults(fake.PlatformFaults{})
+				f.stillServes("/new/")
+			}
+			f.configureAgain()
+			f.addRoute("/newer/")
+			third := f.serve("p3", "plain", 0)
+			if overtakes {
+				f.beat(80)
+				f.platform.SetFaults(fake.PlatformFaults{})
+			}
+			f.followed(third, time.Now())
+		})
+	}
+}
+
+// stillServes checks that all instances serve a route for a while.
+func (f *fleet) stillServes(path string) {
+	f.t.Helper()
+	for i := range 10 {
+		for _, n := range f.nodes {
+			if got := f.ask(n, fmt.Sprint("b", i), path, nil); got.status != http.StatusOK {
+				f.t.Errorf("what was in force is gone: %+v", got)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// followed checks that each instance takes the newest configuration within a second of an
+// instant, and uses a target that was listed then.
+func (f *fleet) followed(target *fake.Server, written time.Time) {
+	f.t.Helper()
+	for i, n := range f.nodes {
+		f.eventually(fmt.Sprint("the newest configuration is not in force at ", i), func() bool {
+			return f.ask(n, "r", "/newer/", nil).status == http.StatusOK
+		})
+	}
+	if took := time.Since(written); took > time.Second {
+		f.t.Errorf("the newest configuration was in force after %v", took)
+	}
+	all := f.nodes
+	for i, n := range all {
+		f.nodes = []*running{n}
+		f.eventually(fmt.Sprint("a new target gets nothing of instance ", i), func() bool { return f.got(target) > 0 })
+	}
+	f.nodes = all
+}
+
+// A target that is known to leave, or to have left, gets nothing again though the copy has it as
+// it was before; nor is one forgotten that the copy lacks and that writes itself again.
+func TestTargetsThatLeftStayAway(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.serve("p0", "plain", 0)
+	leaving := f.serve("p1", "plain", 0)
+	gone := f.serve("p2", "plain", 0)
+	for range 2 {
+		f.start()
+	}
+	older := f.platform.Rows.Copy()
+	young := f.serve("p3", "plain", 0)
+	f.list("p1", "plain", f.addresses["p1"], "draining")
+	f.platform.Drop("servers", "p2")
+	f.eventually("the new target isn't used", func() bool { return f.got(young) > 0 })
+	time.Sleep(300 * time.Millisecond)
+	left, was := len(leaving.Runs()), len(gone.Runs())
+	f.goBack(older)
+	for range 10 {
+		if f.got(young) == 0 {
+			t.Error("a target that the copy lacks gets nothing")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.list("p3", "plain", f.addresses["p3"], "ready")
+	f.list("p1", "plain", f.addresses["p1"], "draining")
+	f.platform.Drop("servers", "p2")
+	time.Sleep(2 * time.Second)
+	if f.got(young) == 0 {
+		t.Error("a target that has written itself again gets nothing")
+	}
+	if got := len(leaving.Runs()) - left; got > 0 {
+		t.Errorf("a leaving target got %d requests", got)
+	}
+	if got := len(gone.Runs()) - was; got > 0 {
+		t.Errorf("a target that had left got %d requests", got)
+	}
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -42,11 +42,13 @@
 	doors   []*door
 	nodes   []*running
 	servers map[string]*fake.Server
-	version int
-	limits  object
-	routes  []object
-	keys    []string
-	log     *fake.Log
+	// addresses are where targets listen.
+	addresses map[string]string
+	version   int
+	limits    object
+	routes    []object
+	keys      []string
+	log       *fake.Log
 	// clock is the clock of the instances.
 	clock shelfshelf.Clock
 	// keyLease and metrics are settings of the instances.
@@ -102,7 +104,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{
-		t: t, platform: fake.NewPlatform(clockwork.NewRealClock()), servers: make(map[string]*fake.Server),
+		t: t, platform: fake.NewPlatform(clockwork.NewRealClock()), servers: make(map[string]*fake.Server), addresses: make(map[string]string),
 		version: 1, limits: object{}, keys: []string{"k1"}, log: &fake.Log{},
 		keyLease: keyLease, descriptors: 1000, clock: clockwork.NewRealClock(),
 	}
@@ -119,6 +121,11 @@
 // configure puts a new version in the store.
 func (f *fleet) configure() {
 	f.version++
+	f.configureAgain()
+}
+
+// configureAgain puts the newest version in the store.
+func (f *fleet) configureAgain() {
 	tenant := object{"Name": "c", "ApiKeys": f.keys, "PlainTokens": 200}
 	for name, value := range f.limits {
 		tenant[name] = value
@@ -140,6 +147,7 @@
 	listener := httptest.NewServer(server)
 	f.t.Cleanup(listener.Close)
 	f.servers[name] = server
+	f.addresses[name] = listener.Listener.Addr().String()
 	f.list(name, service, listener.Listener.Addr().String(), "ready")
 	return server
 }
