--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -50,6 +50,7 @@
 type Answer struct {
 	Progress
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -133,6 +134,7 @@
 	defer func() { _ = response.Body.Close() }()
 	f.move()
 	answer.Status = response.StatusCode
+	answer.Header = response.Header
 	answer.First = f.clock.Now().Sub(began)
 	answer.Expected = response.ContentLength
 	if answer.Expected > f.limits.Bytes {
