Targets that left stay away when the store comes back from an older copy

What callers saw: after the store had come back from a copy, a target that was leaving and one that had left got 18 to 20 requests each within 3 s, since the copy had them as ready; one that had come after the copy was dropped until it wrote itself again.

Cause: a whole list of targets was taken at its word, however old it is. The rule on draining binds an instance once it has itself acknowledged the leaving.

Why it holds: each instance notes when the list's era rises, by whichever way it hears of it, and for 5 s treats targets as leaving that it knew to leave, or to have left within a minute, and that are of the same life: an entry of the copy lapses after three heartbeats of 1.2 s, and one that lives is written again within two seconds. What the copy lacks is kept for two seconds.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -87,6 +87,11 @@
 	targetsVersion  uint64
 	// newest is the newest revision that this instance has heard of.
 	newest shelfshelf.Revision
+	// returnedAt is when the source was found to have come back from an older copy, doubted the
+	// targets that it may wrongly have as ready since, and left those that left lately.
+	returnedAt time.Time
+	doubted    map[shelfshelf.TargetName]departure
+	left       map[shelfshelf.TargetName]departure
 	// outageEnded is when the source last came back from an outage.
 	outageEnded time.Time
 	sourceLost  bool
--- a/catalog/targets.go
+++ b/catalog/targets.go
@@ -69,11 +69,12 @@
 		candidates = missing(c.targets, update.Changed)
 	}
 	now := c.Clock.Now()
+	c.noteEra(update.Version, now)
 	var removed []shelfshelf.TargetName
 	for _, name := range candidates {
 		until := time.Time{}
 		if update.Whole {
-			until = keep(name)
+			until = later(keep(name), c.keptAfterReturn(name))
 		}
 		if c.remove(name, until, now) {
 			removed = append(removed, name)
@@ -141,11 +142,20 @@
 		c.keepVanished(name, until)
 		return !marked
 	}
+	c.noteLeft(c.targets[name], now)
 	delete(c.targets, name)
 	delete(c.vanished, name)
 	return true
 }
 
+// later returns the later of two instants.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // loopExpiry drops vanished targets when their time is over: the source says nothing
 // more of them. It sleeps while there are none.
 func (c *Catalog) loopExpiry(ctx context.Context) error {
@@ -153,7 +163,7 @@
 		c.mu.Lock()
 		changed := c.vanishing()
 		var next <-chan time.Time
-		if len(c.vanished) > 0 {
+		if len(c.vanished)+len(c.doubted) > 0 {
 			next = c.Clock.After(expiryPeriod)
 		}
 		c.mu.Unlock()
@@ -164,10 +174,21 @@
 			continue
 		case <-next:
 		}
-		if dropped := c.dropExpired(); len(dropped) > 0 {
-			c.Log.Info("Targets that vanished in an outage have not come back.", "dropped", dropped)
-			c.notify(FromSource)
-		}
+		c.expire()
+	}
+}
+
+// expire drops kept targets and ends doubts whose time is over.
+func (c *Catalog) expire() {
+	dropped := c.dropExpired()
+	if len(dropped) > 0 {
+		c.Log.Info("Targets that vanished in an outage have not come back.", "dropped", dropped)
+	}
+	c.mu.Lock()
+	trusted := c.endDoubts(c.Clock.Now())
+	c.mu.Unlock()
+	if trusted || len(dropped) > 0 {
+		c.notify(FromSource)
 	}
 }
 
@@ -182,6 +203,11 @@
 // keepVanished keeps a target for a moment that the source has lost; the lock is held.
 func (c *Catalog) keepVanished(name shelfshelf.TargetName, until time.Time) {
 	c.vanished[name] = until
+	c.wakeExpiry()
+}
+
+// wakeExpiry wakes the loop that drops kept targets and ends doubts; the lock is held.
+func (c *Catalog) wakeExpiry() {
 	select {
 	case c.vanishing() <- struct{}{}:
 	default:
@@ -195,6 +221,7 @@
 	var dropped []shelfshelf.TargetName
 	for name, until := range c.vanished {
 		if !now.Before(until) {
+			c.noteLeft(c.targets[name], now)
 			delete(c.targets, name)
 			delete(c.vanished, name)
 			dropped = append(dropped, name)
--- a/node/node.go
+++ b/node/node.go
@@ -196,7 +196,7 @@
 	if index == nil {
 		return
 	}
-	targets := n.catalog.Targets()
+	targets := n.catalog.Usable()
 	n.rollouts.Targets(targets.Targets, targets.Version)
 	n.limits.Targets(targets.Targets)
 	n.balancer.SetTargets(index.Bundle.Pools, targets.Targets)
