Tests of orders and own rows after the store comes back from an older copy, which fail

An order that the operator writes again begins anew though its version was rolled back; the order before it, which the copy has, replaces one that is completed; addresses of instances, ends of targets and the status of orders are never written again.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -167,3 +167,38 @@
 		t.Errorf("a target that had left got %d requests", got)
 	}
 }
+
+// rowOf returns a row of the store as it stands, empty if it is absent.
+func (f *fleet) rowOf(table, key string) string {
+	return string(f.platform.Rows.Get(fake.RowID{Table: table, Key: key}).Value)
+}
+
+// What this system wrote since the copy was made is gone, and nobody but it writes that again:
+// where an instance listens that has just started, under which requests targets have ended, how far
+// an order has come, as the operator reads it.
+func TestOwnRowsAreWrittenAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.serve("p1", "plain", 0)
+	engines := &mortals{f: f, pool: "engines", events: 5, faults: fake.ServerFaults{Deadly: deadly}, backAfter: 300 * time.Millisecond}
+	engines.serve(6)
+	first := f.start()
+	older := f.platform.Rows.Copy()
+	f.start()
+	m := &move{f: f, service: "plain", period: 20 * time.Second}
+	m.order(fake.ServerFaults{})
+	for i := 0; i < 50; i++ {
+		if count, _ := engines.ended(1); count >= 3 {
+			break
+		}
+		f.ask(first, fmt.Sprint("d", i), "/s/x", withBody(deadly))
+	}
+	written := func() bool {
+		return f.rowOf("instances", "n1") != "" && len(f.rowOf("crashes", "all")) > 100 && m.state() == "serving"
+	}
+	f.eventually("it was never written", written)
+	f.goBack(older)
+	content := fmt.Sprintf(`{"Service":"plain","TargetVersion":"v2","PeriodS":%d}`, int(m.period/time.Second))
+	f.platform.Put("op", "rollout/plain", []byte(content))
+	f.eventually("it is not written again", written)
+}
