Orders outlive a store that comes back from an older copy

What callers saw: a version that had been rolled back was tried once more when its order was written again after the store came back from a copy, and an order that the copy has, replaced since, took back one that was completed.

Cause: an order was told from others by its row's version alone, which goes back with the copy.

Why it holds: an order of a later era with the version and period of the one known is the same, and goes on under its new position; the row of one that the known order has replaced says nothing. In the same era, an order that is given again is another one, as before.

--- a/rollout/record.go
+++ b/rollout/record.go
@@ -44,9 +44,10 @@
 
 // order is what is known of one pool's order.
 type order struct {
-	// word is the order as of at.
-	word shelfshelf.Rollout
-	at   time.Time
+	// word is the order as of at, and earlier are those that it replaced, the last one first.
+	word    shelfshelf.Rollout
+	at      time.Time
+	earlier []shelfshelf.Rollout
 	split
 	evidence Evidence
 	// ended says that the order was completed before this instance's eyes, and retired are
@@ -117,7 +118,7 @@
 	}
 	now := r.Clock.Now()
 	known := r.orders[word.Pool]
-	if known != nil && !word.Adds(known.word) {
+	if known != nil && (!known.returned(word) || !word.Adds(known.word)) {
 		return false
 	}
 	if known == nil || known.word.Revision != word.Revision {
@@ -125,6 +126,7 @@
 			word.Barred = barred(known.word, word)
 		}
 		known = &order{
+			earlier:  replacing(known),
 			split:    split{offset: r.random()},
 			evidence: Evidence{Pool: word.Pool, Revision: word.Revision, Cells: make(map[CellName]*Cell)},
 		}
