What this system wrote is written again after the store comes back from an older copy

What callers saw: instances that had just started were not listed any more, so that those of other data centres learnt of them late; after a restart of all, requests that end their targets were let through again; the operator read no status of an order.

Cause: own rows are written when something changes, and were never looked at again.

Why it holds: each instance hears of the later era with the list of targets. Who has announced itself within a minute reads the directory, at any moment within 2 s, and announces itself if it is missing; the one that keeps the ends of targets and orders writes them again, until the store has taken it. Customers' use is written every second anyway. What is kept of an order tells its version, by which it is known under its row's new position.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -67,6 +67,9 @@
 	// Changed is called, outside locks, after the configuration or the targets have
 	// changed, with the address of the instance that told, or FromSource; may be nil.
 	Changed func(from string)
+	// Returned is called, outside locks, when the source is found to have come back from an
+	// older copy; may be nil.
+	Returned func()
 	// Ordered is called with the orders to move pools that a read of the source has brought;
 	// there was no other when the source stood at asOf. May be nil.
 	Ordered func(orders []shelfshelf.Rollout, asOf uint64)
--- a/catalog/doubt.go
+++ b/catalog/doubt.go
@@ -24,10 +24,10 @@
 
 // noteEra notes that a list is the first one after the source came back from an older copy, which
 // has targets as they were: those that are known to leave, or to have left, stay away for a while.
-// The lock is held.
-func (c *Catalog) noteEra(version uint64, now time.Time) {
+// It reports whether that is so; the lock is held.
+func (c *Catalog) noteEra(version uint64, now time.Time) bool {
 	if c.targetsVersion == 0 || shelfshelf.EraOf(version) <= shelfshelf.EraOf(c.targetsVersion) {
-		return
+		return false
 	}
 	c.returnedAt = now
 	c.doubted = make(map[shelfshelf.TargetName]departure)
@@ -43,6 +43,7 @@
 	}
 	c.wakeExpiry()
 	c.Log.Info("The source has come back from an older copy.", "era", shelfshelf.EraOf(version), "doubted", len(c.doubted))
+	return true
 }
 
 // keptAfterReturn is until when a target that a whole list lacks is kept because the source has
--- a/catalog/targets.go
+++ b/catalog/targets.go
@@ -69,7 +69,7 @@
 		candidates = missing(c.targets, update.Changed)
 	}
 	now := c.Clock.Now()
-	c.noteEra(update.Version, now)
+	returned := c.noteEra(update.Version, now)
 	var removed []shelfshelf.TargetName
 	for _, name := range candidates {
 		until := time.Time{}
@@ -94,6 +94,9 @@
 	}
 	count := len(c.targets)
 	c.mu.Unlock()
+	if returned && c.Returned != nil {
+		c.Returned()
+	}
 	if len(removed)+len(changed) == 0 {
 		return
 	}
--- a/crashes/keeper.go
+++ b/crashes/keeper.go
@@ -49,12 +49,23 @@
 	// differ are the instances that know something else, and since when.
 	differ map[shelfshelf.InstanceID]time.Time
 	offers chan string
+	// lost receives when what was saved may be gone.
+	lost chan struct{}
 }
 
 // Init makes what Heard needs; it is called before all else.
 func (k *Keeper) Init() {
 	k.differ = make(map[shelfshelf.InstanceID]time.Time)
 	k.offers = make(chan string, 1)
+	k.lost = make(chan struct{}, 1)
+}
+
+// Lost says that the store may have lost what was saved, as one that comes back from an older copy.
+func (k *Keeper) Lost() {
+	select {
+	case k.lost <- struct{}{}:
+	default:
+	}
 }
 
 // Known returns all that is known, for an instance that starts; the error is
@@ -124,6 +135,10 @@
 		case <-k.Record.Changed():
 			watchUntil = k.Clock.Now().Add(saveWatch)
 			k.save(ctx)
+		case <-k.lost:
+			k.saved = 0
+			watchUntil = k.Clock.Now().Add(saveWatch)
+			k.save(ctx)
 		case <-again:
 			k.save(ctx)
 		case address := <-k.offers:
--- a/gossip/directory.go
+++ b/gossip/directory.go
@@ -17,7 +17,10 @@
 	// firstRetry and lastRetry bound the pause after a call to the directory that failed;
 	// it doubles, since the platform counts the calls that it turns away too.
 	firstRetry = 300 * time.Millisecond
-	lastRetry  = 2400 * time.Millisecond
+	// announcedLately is how long ago an instance may have announced itself for that to be lost
+	// with a store that comes back from a copy some seconds old.
+	announcedLately = time.Minute
+	lastRetry       = 2400 * time.Millisecond
 )
 
 // loopDirectory learns of the other instances and announces this one if it is not listed
@@ -43,24 +46,49 @@
 		select {
 		case <-ctx.Done():
 		case <-n.Clock.After(pause):
+		case <-n.lost:
+			announced = false
+			n.spread(ctx)
 		}
 	}
 	return nil
 }
 
-// announceFirst announces this instance where all start for the first time; nobody is
-// listed before, and there is no hurry.
-func (n *Node) announceFirst(ctx context.Context) bool {
+// Lost says that the directory may lack what was written lately, as of a store that comes back
+// from an older copy: whoever has announced itself lately looks whether it is still listed.
+func (n *Node) Lost() {
+	n.mu.Lock()
+	lately := !n.announcedAt.IsZero() && n.Clock.Now().Sub(n.announcedAt) < announcedLately
+	n.mu.Unlock()
+	if !lately {
+		return
+	}
+	select {
+	case n.lost <- struct{}{}:
+	default:
+	}
+}
+
+// spread waits for any part of announceSpread, so that not all instances write at once.
+func (n *Node) spread(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-		return false
 	case <-n.Clock.After(time.Duration(rand.Float64() * float64(announceSpread))):
 	}
-	return n.announce(ctx)
+}
+
+// announceFirst announces this instance where all start for the first time; nobody is
+// listed before, and there is no hurry.
+func (n *Node) announceFirst(ctx context.Context) bool {
+	n.spread(ctx)
+	return ctx.Err() == nil && n.announce(ctx)
 }
 
 func (n *Node) announce(ctx context.Context) bool {
 	err := n.Directory.Announce(ctx, n.Self)
+	n.mu.Lock()
+	n.announcedAt = n.Clock.Now()
+	n.mu.Unlock()
 	if err != nil {
 		n.Log.Warn("This instance could not be announced.", "error", err)
 		return false
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -92,6 +92,10 @@
 	first  []shelfshelf.InstanceID
 	// listedAt is when the directory of instances was first read; zero if it never was.
 	listedAt time.Time
+	// announcedAt is when this instance last announced itself, and lost receives when that may
+	// be gone.
+	announcedAt time.Time
+	lost        chan struct{}
 }
 
 // Run announces this instance and exchanges messages until the context ends.
@@ -111,6 +115,7 @@
 // Init begins the instance's life; it is called before Run and all else.
 func (n *Node) Init() {
 	n.kick = make(chan struct{}, 1)
+	n.lost = make(chan struct{}, 1)
 	n.start = n.Clock.Now()
 	n.peers = make(map[shelfshelf.InstanceID]*peerState)
 	n.centres = make(map[shelfshelf.DataCentre]*centreState)
--- a/node/build.go
+++ b/node/build.go
@@ -27,8 +27,8 @@
 		Instances: n.instances, Changed: n.rolloutChanged,
 	}
 	n.catalog = &catalog.Catalog{
-		Ordered: n.ordered,
-		Clock:   n.Clock, Log: n.Log.WithPrefix("catalog"), Source: n.Platform.Catalog,
+		Ordered: n.ordered, Returned: n.storeReturned,
+		Clock: n.Clock, Log: n.Log.WithPrefix("catalog"), Source: n.Platform.Catalog,
 		Follow: n.follow, Begin: n.readsAtStart, Pace: n.pace, Changed: n.changed,
 		ConfirmPeriod: func() time.Duration { return n.leaseShare(confirmShare) },
 	}
--- a/node/start.go
+++ b/node/start.go
@@ -142,3 +142,10 @@
 		}
 	}
 }
+
+// storeReturned has what this instance wrote lately looked at again: the store has come back from
+// an older copy, and nobody else writes it.
+func (n *Node) storeReturned() {
+	n.gossip.Lost()
+	n.crashKeeper.Lost()
+}
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -93,8 +93,11 @@
 	for ctx.Err() == nil {
 		under := k.Record.Under()
 		var next <-chan time.Time
-		if len(under) > 0 {
+		switch {
+		case len(under) > 0:
 			next = k.Clock.After(k.pause(under))
+		case len(k.Record.Unsaved()) > 0:
+			next = k.Clock.After(restorePause)
 		}
 		select {
 		case <-ctx.Done():
@@ -102,6 +105,7 @@
 		case <-k.Record.Changes():
 		case <-next:
 		}
+		k.restore(ctx, k.Leads())
 		if under = k.Record.Under(); len(under) > 0 && k.Asks() {
 			k.look(ctx, under)
 		}
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -48,6 +48,8 @@
 	word    shelfshelf.Rollout
 	at      time.Time
 	earlier []shelfshelf.Rollout
+	// unsaved says that it has to be written down again.
+	unsaved bool
 	split
 	evidence Evidence
 	// ended says that the order was completed before this instance's eyes, and retired are
@@ -118,8 +120,11 @@
 	}
 	now := r.Clock.Now()
 	known := r.orders[word.Pool]
-	if known != nil && (!known.returned(word) || !word.Adds(known.word)) {
-		return false
+	if known != nil {
+		news, stale := known.returned(word)
+		if stale || !word.Adds(known.word) {
+			return news
+		}
 	}
 	if known == nil || known.word.Revision != word.Revision {
 		if known != nil {
