--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -43,25 +43,30 @@
 	for seed, cause := range regression {
 		t.Run(fmt.Sprint("regression-", seed), func(t *testing.T) {
 			t.Log("failed once by:", cause)
-			play(t, binary, seed)
+			play(t, binary, seed, false)
 		})
 	}
 	for i := range uint64(*seedCount) {
-		t.Run(fmt.Sprint("seed-", *firstSeed+i), func(t *testing.T) { play(t, binary, *firstSeed+i) })
+		t.Run(fmt.Sprint("seed-", *firstSeed+i), func(t *testing.T) { play(t, binary, *firstSeed+i, false) })
 	}
 	// New seeds come one after the other, so that they can go on for a time.
 	for began := time.Now(); time.Since(began) < *fresh; {
 		seed := uint64(time.Now().UnixNano())
 		t.Run("fresh", func(t *testing.T) {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed) })
+			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, false) })
 		})
 	}
 }
 
-// play plays one seed: faults beside callers, then calm, then the checks.
-func play(t *testing.T, binary string, seed uint64) {
+// play plays one seed: faults beside callers, then calm, then the checks; limited says that some
+// targets name limits meanwhile.
+func play(t *testing.T, binary string, seed uint64, limited bool) {
 	t.Parallel()
 	s := newStage(t, binary, *size)
+	named := &limits{}
+	if limited {
+		named = s.nameLimits(seed)
+	}
 	plan := &schedule{stage: s, seed: seed}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -91,6 +96,7 @@
 	// What targets still do of requests that were cut ends by itself.
 	time.Sleep(500 * time.Millisecond)
 	c.check(t, calm)
+	named.check(t)
 }
 
 // logEnds prints the last lines of each process's log: a run that keeps no folder, such as
