--- a/test/soak/limits_test.go
+++ b/test/soak/limits_test.go
@@ -71,12 +71,12 @@
 	binary := build(t)
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { play(t, binary, seed, true) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { play(t, binary, seed, withLimits) })
 	}
 	for began := time.Now(); time.Since(began) < *fresh; {
 		seed := uint64(time.Now().UnixNano())
 		t.Run("fresh", func(t *testing.T) {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, true) })
+			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, withLimits) })
 		})
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -43,28 +44,38 @@
 	for seed, cause := range regression {
 		t.Run(fmt.Sprint("regression-", seed), func(t *testing.T) {
 			t.Log("failed once by:", cause)
-			play(t, binary, seed, false)
+			play(t, binary, seed, plain)
 		})
 	}
 	for i := range uint64(*seedCount) {
-		t.Run(fmt.Sprint("seed-", *firstSeed+i), func(t *testing.T) { play(t, binary, *firstSeed+i, false) })
+		t.Run(fmt.Sprint("seed-", *firstSeed+i), func(t *testing.T) { play(t, binary, *firstSeed+i, plain) })
 	}
 	// New seeds come one after the other, so that they can go on for a time.
 	for began := time.Now(); time.Since(began) < *fresh; {
 		seed := uint64(time.Now().UnixNano())
 		t.Run("fresh", func(t *testing.T) {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, false) })
+			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, plain) })
 		})
 	}
 }
 
-// play plays one seed: faults beside callers, then calm, then the checks; limited says that some
-// targets name limits meanwhile.
-func play(t *testing.T, binary string, seed uint64, limited bool) {
+// mode says what goes on beside the faults of a seed.
+type mode int
+
+const (
+	plain mode = iota
+	// withLimits has some targets name limits.
+	withLimits
+	// withReturns has the store come back from older copies.
+	withReturns
+)
+
+// play plays one seed: faults beside callers, then calm, then the checks.
+func play(t *testing.T, binary string, seed uint64, beside mode) {
 	t.Parallel()
 	s := newStage(t, binary, *size)
 	named := &limits{}
-	if limited {
+	if beside == withLimits {
 		named = s.nameLimits(seed)
 	}
 	plan := &schedule{stage: s, seed: seed}
@@ -86,7 +97,17 @@
 			c.run(ctx, s.nodes[i%len(s.nodes)])
 		}()
 	}
-	plan.run(*length)
+	if beside == withReturns {
+		returning := &returns{stage: s, random: rand.New(rand.NewPCG(seed, 2)), done: make(chan struct{})}
+		drilling, end := context.WithTimeout(ctx, *length)
+		defer end()
+		go returning.run(drilling)
+		defer func() { t.Logf("the store came back from a copy %d times", returning.count) }()
+		plan.run(*length)
+		<-returning.done
+	} else {
+		plan.run(*length)
+	}
 	waitReady(t, s)
 	time.Sleep(recoverWithin)
 	calm := time.Now()
--- a/test/soak/stage_test.go
+++ b/test/soak/stage_test.go
@@ -76,6 +76,8 @@
 	server *fake.Server
 	link   *link
 	pool   string
+	// state is what it says of itself.
+	state string
 }
 
 func build(t *testing.T) string {
@@ -130,9 +132,19 @@
 }
 
 func (s *stage) list(t *target, state string) {
+	s.mu.Lock()
+	t.state = state
+	s.mu.Unlock()
 	s.put("servers", t.name, object{"Service": t.pool, "Address": t.link.address(), "Zone": "a", "Slots": s.slots, "State": state})
 }
 
+// stateOf returns what a target says of itself.
+func (s *stage) stateOf(t *target) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.state
+}
+
 func (s *stage) put(table, key string, value object) {
 	content, err := json.Marshal(value)
 	if err != nil {
@@ -159,6 +171,17 @@
 // configure puts a new version in the store; the lock is held, or nobody else runs.
 func (s *stage) configure() {
 	s.version++
+	s.writeConfiguration()
+}
+
+// configureAgain puts the newest version in the store again.
+func (s *stage) configureAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeConfiguration()
+}
+
+func (s *stage) writeConfiguration() {
 	s.put("op", "config", object{
 		"Version": s.version, "Routes": s.routes,
 		"Services": []object{{"Name": "engines", "Engine": object{"Slots": s.slots, "Stride": 5}}, {"Name": "plain"}},
