--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -115,12 +115,9 @@
 	}},
 	{"route", func(s *stage, _ *rand.Rand) func() {
 		s.mu.Lock()
-		defer s.mu.Unlock()
 		path := fmt.Sprintf("/many/%d/", s.version)
-		s.routes = append(s.routes, object{
-			"Name": path, "Host": "h.example", "PathPrefix": path, "Kind": "idempotent", "TimeoutMs": 1500, "Service": "plain", "MaxAttempts": 2,
-		})
-		s.configure()
+		s.mu.Unlock()
+		s.addRoute(path)
 		return func() {}
 	}},
 	{"leave", func(s *stage, random *rand.Rand) func() {
--- a/test/soak/returns_test.go
+++ b/test/soak/returns_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,6 +79,65 @@
 	r.count++
 }
 
+// checkFollowed has the store come back once more, with its versions past the last one read by the
+// time that it can be read, and checks that every process serves a route that came with them.
+func (r *returns) checkFollowed(t *testing.T) {
+	t.Helper()
+	s := r.stage
+	older := s.platform.Rows.Copy()
+	s.addRoute("/many/lost/")
+	time.Sleep(inForceWithin)
+	s.platform.SetFaults(fake.PlatformFaults{Busy: true})
+	time.Sleep(300 * time.Millisecond)
+	s.platform.Rows.GoBack(older)
+	s.configureAgain()
+	s.addRoute("/many/returned/")
+	for i := range 200 {
+		s.put("status", fmt.Sprint("beat-", i), object{"i": i})
+	}
+	s.platform.SetFaults(fake.PlatformFaults{})
+	written := time.Now()
+	for _, p := range s.nodes {
+		for s.status(p, "/many/returned/") != http.StatusOK {
+			if time.Since(written) > inForceWithin {
+				t.Fatalf("%s doesn't serve what was written after the store came back", p.name)
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+	}
+	t.Logf("all serve it %v after the store came back", time.Since(written))
+}
+
+// status asks a process as a caller of a route does.
+func (s *stage) status(p *process, path string) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.callers+path, strings.NewReader("status"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.mu.Lock()
+	request.Header.Set("Authorization", "Bearer "+s.keys[0])
+	s.mu.Unlock()
+	request.Host = "h.example"
+	request.Header.Set("X-Shelfshelf-Request-Id", "status")
+	request.Header.Set("X-Shelfshelf-Request-Deadline", "1000")
+	response, err := (&http.Client{Timeout: time.Second}).Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// addRoute adds a route.
+func (s *stage) addRoute(path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routes = append(s.routes, object{
+		"Name": path, "Host": "h.example", "PathPrefix": path, "Kind": "idempotent", "TimeoutMs": 1500, "Service": "plain", "MaxAttempts": 2,
+	})
+	s.configure()
+}
+
 // All promises hold beside a store that comes back from older copies.
 func TestSoakWithReturns(t *testing.T) {
 	binary := build(t)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -97,14 +97,15 @@
 			c.run(ctx, s.nodes[i%len(s.nodes)])
 		}()
 	}
+	var drills *returns
 	if beside == withReturns {
-		returning := &returns{stage: s, random: rand.New(rand.NewPCG(seed, 2)), done: make(chan struct{})}
+		drills = &returns{stage: s, random: rand.New(rand.NewPCG(seed, 2)), done: make(chan struct{})}
 		drilling, end := context.WithTimeout(ctx, *length)
 		defer end()
-		go returning.run(drilling)
-		defer func() { t.Logf("the store came back from a copy %d times", returning.count) }()
+		go drills.run(drilling)
+		defer func() { t.Logf("the store came back from a copy %d times", drills.count) }()
 		plan.run(*length)
-		<-returning.done
+		<-drills.done
 	} else {
 		plan.run(*length)
 	}
@@ -116,6 +117,9 @@
 	running.Wait()
 	// What targets still do of requests that were cut ends by itself.
 	time.Sleep(500 * time.Millisecond)
+	if drills != nil {
+		drills.checkFollowed(t)
+	}
 	c.check(t, calm)
 	named.check(t)
 }
