--- a/node/era_test.go
+++ b/node/era_test.go
@@ -202,3 +202,49 @@
 	f.platform.Put("op", "rollout/plain", []byte(content))
 	f.eventually("it is not written again", written)
 }
+
+// Many instances that hear together that the store has come back from a copy don't read the whole
+// at once, each for itself: those that read anyway do, and the others hear of it from them. Only who
+// announced itself within the last minute looks whether it is still listed.
+func TestReturnsOfTheStoreCostFewCalls(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		count int
+		first bool
+	}{
+		"6 instances": {6, false}, "85 instances": {85, false}, "240 instances": {240, false}, "85 that have just started": {85, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playLarge(t, c.count, c.first, func(l *large) {
+				const span = 3 * time.Second
+				l.untilReady(6 * time.Second)
+				time.Sleep(3 * time.Second)
+				calm, _, _ := l.calls()
+				time.Sleep(span)
+				before, _, _ := l.calls()
+				older := l.platform.Rows.Copy()
+				l.put("op", "other", object{})
+				l.platform.SetFaults(fake.PlatformFaults{Busy: true})
+				time.Sleep(away)
+				l.platform.Rows.GoBack(older)
+				l.platform.SetFaults(fake.PlatformFaults{Delay: storeDelay})
+				time.Sleep(span)
+				after, _, _ := l.calls()
+				t.Logf("%d calls in %v of calm, %d in %v of the return", before-calm, span, after-before, span+away)
+				// Each data centre's first three try while a store fails, a few times a second.
+				allowed := before - calm + centres*3*8
+				if c.first {
+					allowed += c.count
+				}
+				if after-before > allowed {
+					t.Errorf("%d calls, more than %d", after-before, allowed)
+				}
+				returned := len(l.log.Lines("has come back from an older copy"))
+				if returned != c.count {
+					t.Errorf("%d of %d instances know of it", returned, c.count)
+				}
+			})
+		})
+	}
+}
