Refused for limits, callers come back when there is room; limits that can't be read are logged

Where all targets that a request may go to have limits, its time to come back is not before the first of them has room again. A limit that is no number of requests is logged with its text and target, and changes nothing.

--- a/announced/record.go
+++ b/announced/record.go
@@ -40,6 +40,8 @@
 	listed map[shelfshelf.TargetKey]shelfshelf.Target
 	// next is where the next status goes on.
 	next shelfshelf.TargetKey
+	// unreadAt is when the log last had a line on a limit that can't be read.
+	unreadAt time.Time
 }
 
 // word is the newest of a target.
@@ -67,8 +69,12 @@
 // An answer without a limit ends one only if its request was sent after the limit was known
 // here: heads of answers pass each other on their way.
 func (r *Record) Answered(target shelfshelf.TargetName, answer shelfshelf.Answer, sent time.Time) {
+	if answer.LimitUnread != "" {
+		r.reportUnread(target, answer.LimitUnread)
+		return
+	}
 	unsaid := !answer.Limit.Named && r.known.Load() == 0
-	if unsaid || answer.OtherTarget || answer.LimitUnread {
+	if unsaid || answer.OtherTarget {
 		return
 	}
 	c := r.read(shelfshelf.KeyOfTarget(target), answer.Limit, sent)
@@ -76,6 +82,20 @@
 	r.report(c, true)
 }
 
+// reportUnread logs a limit that is no number of requests, and leaves what is known as it is.
+func (r *Record) reportUnread(target shelfshelf.TargetName, text string) {
+	r.mu.Lock()
+	now := r.Clock.Now()
+	report := now.Sub(r.unreadAt) >= logPause
+	if report {
+		r.unreadAt = now
+	}
+	r.mu.Unlock()
+	if report {
+		r.Log.Warn("A target's limit can't be read and changes nothing.", "target", target, "limit", text)
+	}
+}
+
 // read takes what this instance has read itself.
 func (r *Record) read(key shelfshelf.TargetKey, limit shelfshelf.RateLimit, sent time.Time) change {
 	r.mu.Lock()
--- a/announced/record_test.go
+++ b/announced/record_test.go
@@ -51,7 +51,7 @@
 		t.Errorf("after an answer to an older request: %v", got)
 	}
 	clock.Advance(time.Second)
-	r.Answered(target, shelfshelf.Answer{LimitUnread: true}, clock.Now())
+	r.Answered(target, shelfshelf.Answer{LimitUnread: "few"}, clock.Now())
 	r.Answered(target, shelfshelf.Answer{OtherTarget: true}, clock.Now())
 	if got := perSecond(r); got != 1.5 {
 		t.Errorf("after a word that can't be read, and one of another target: %v", got)
--- a/balance/limited.go
+++ b/balance/limited.go
@@ -76,6 +76,22 @@
 	return b.acquireAlone(ctx, need)
 }
 
+// onlyLimited reports that all targets that the request may go to have a limit.
+func (a *asking) onlyLimited() bool {
+	_, only := a.limits()
+	return only
+}
+
+// retryAfter is when a refused caller may come back: not before a target with a limit has room
+// again where the request may go to no other.
+func (a *asking) retryAfter() time.Duration {
+	after := retryAfter(a.need)
+	if !a.onlyLimited() {
+		return after
+	}
+	return min(max(after, a.untilRoom()), longestRetryAfter)
+}
+
 // limits reports whether some, and whether all, of the targets that the request may go to have
 // a limit.
 func (a *asking) limits() (some, only bool) {
@@ -153,14 +169,34 @@
 // again returns a channel that receives once a target with a limit may have room for another
 // request; nil where there is none.
 func (a *asking) again() <-chan time.Time {
+	soonest := a.soonestRoom()
+	if soonest.IsZero() {
+		return nil
+	}
+	now := a.balancer.Clock.Now()
+	return a.balancer.Clock.After(max(soonest.Sub(now), leastAskPause))
+}
+
+// untilRoom is how long it takes until a target with a limit may have room; 0 where there is none.
+func (a *asking) untilRoom() time.Duration {
+	soonest := a.soonestRoom()
+	if soonest.IsZero() {
+		return 0
+	}
+	return soonest.Sub(a.balancer.Clock.Now())
+}
+
+// soonestRoom returns when the first of the targets with a limit that the request doesn't wait for
+// may be asked again; zero where there is none.
+func (a *asking) soonestRoom() time.Time {
 	b := a.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var soonest time.Time
 	p := b.pools[a.need.Pool]
 	if p == nil {
-		return nil
+		return soonest
 	}
-	var soonest time.Time
 	for _, t := range p.targets {
 		if !t.limited() || !t.fits(a.need) || a.waitsAt(t) {
 			continue
@@ -173,10 +209,7 @@
 			soonest = at
 		}
 	}
-	if soonest.IsZero() {
-		return nil
-	}
-	return b.Clock.After(max(soonest.Sub(b.Clock.Now()), leastAskPause))
+	return soonest
 }
 
 // passBy gives up an ask of a target with a limit whose owner doesn't answer, and leaves the
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -68,7 +68,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	if _, only := a.limits(); a.answered == 0 && !only {
+	if a.answered == 0 && !a.onlyLimited() {
 		// No owner answers: this instance decides by what it knows.
 		lease, err := b.acquireAlone(ctx, need)
 		if err == nil {
@@ -211,7 +211,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-timeout:
-			return nil, &Refusal{Reason: shelfshelf.RefusedShed, RetryAfter: retryAfter(a.need)}
+			return nil, &Refusal{Reason: shelfshelf.RefusedShed, RetryAfter: a.retryAfter()}
 		}
 	}
 }
--- a/call.go
+++ b/call.go
@@ -65,10 +65,10 @@
 	Waiting   int
 	Slots     int
 	LoadKnown bool
-	// Limit is what the target says that it takes, and LimitUnread that it says something
-	// that can't be read.
+	// Limit is what the target says that it takes, and LimitUnread what it says of it that
+	// can't be read, empty if all can.
 	Limit       RateLimit
-	LimitUnread bool
+	LimitUnread string
 }
 
 // CallCodec reads and writes the headers of calls and answers.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -166,8 +166,8 @@
 	if c.load.LoadKnown {
 		fields = append(fields, "targetRunning", c.load.Running, "targetWaiting", c.load.Waiting)
 	}
-	if c.load.Limit.Named || c.load.LimitUnread {
-		fields = append(fields, "targetLimit", c.load.Limit.PerSecond, "limitUnread", c.load.LimitUnread)
+	if c.load.Limit.Named {
+		fields = append(fields, "targetLimit", c.load.Limit.PerSecond)
 	}
 	if !c.firstByte.IsZero() {
 		fields = append(fields, "first", c.firstByte.Sub(c.arrived))
--- a/test/soak/limits_test.go
+++ b/test/soak/limits_test.go
@@ -68,15 +68,5 @@
 
 // Limits hold under the faults of a soak, and all else that it checks holds beside limits.
 func TestSoakWithLimits(t *testing.T) {
-	binary := build(t)
-	for i := range uint64(*seedCount) {
-		seed := *firstSeed + i
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { play(t, binary, seed, withLimits) })
-	}
-	for began := time.Now(); time.Since(began) < *fresh; {
-		seed := uint64(time.Now().UnixNano())
-		t.Run("fresh", func(t *testing.T) {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, withLimits) })
-		})
-	}
+	playSeeds(t, build(t), withLimits)
 }
--- a/test/soak/returns_test.go
+++ b/test/soak/returns_test.go
@@ -140,15 +140,5 @@
 
 // All promises hold beside a store that comes back from older copies.
 func TestSoakWithReturns(t *testing.T) {
-	binary := build(t)
-	for i := range uint64(*seedCount) {
-		seed := *firstSeed + i
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { play(t, binary, seed, withReturns) })
-	}
-	for began := time.Now(); time.Since(began) < *fresh; {
-		seed := uint64(time.Now().UnixNano())
-		t.Run("fresh", func(t *testing.T) {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, withReturns) })
-		})
-	}
+	playSeeds(t, build(t), withReturns)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -47,14 +47,20 @@
 			play(t, binary, seed, plain)
 		})
 	}
+	playSeeds(t, binary, plain)
+}
+
+// playSeeds plays the seeds that the flags ask for.
+func playSeeds(t *testing.T, binary string, beside mode) {
 	for i := range uint64(*seedCount) {
-		t.Run(fmt.Sprint("seed-", *firstSeed+i), func(t *testing.T) { play(t, binary, *firstSeed+i, plain) })
+		seed := *firstSeed + i
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { play(t, binary, seed, beside) })
 	}
 	// New seeds come one after the other, so that they can go on for a time.
 	for began := time.Now(); time.Since(began) < *fresh; {
 		seed := uint64(time.Now().UnixNano())
 		t.Run("fresh", func(t *testing.T) {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, plain) })
+			t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, binary, seed, beside) })
 		})
 	}
 }
