--- a/node/era_test.go
+++ b/node/era_test.go
@@ -207,7 +207,6 @@
 // at once, each for itself: those that read anyway do, and the others hear of it from them. Only who
 // announced itself within the last minute looks whether it is still listed.
 func TestReturnsOfTheStoreCostFewCalls(t *testing.T) {
-	t.Parallel()
 	for name, c := range map[string]struct {
 		count int
 		first bool
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -22,7 +22,6 @@
 // nor those that give places out. A limit below one request an instance can't be kept by
 // each for itself: 85 that send one each in 4 s are 85.
 func TestAnnouncedLimitsAreKept(t *testing.T) {
-	t.Parallel()
 	for _, count := range []int{6, 85, 300} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
 			t.Parallel()
@@ -40,7 +39,6 @@
 // owner before it gave, and goes on giving. All owners fall silent twice, and are back each
 // time.
 func TestAnnouncedLimitsOutliveOwners(t *testing.T) {
-	t.Parallel()
 	for _, count := range []int{24, 85} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
 			t.Parallel()
@@ -74,7 +72,6 @@
 // Who starts anew knows of no limit and is told; where all do, the first answers tell them, and
 // the count begins as when targets first named their limits.
 func TestAnnouncedLimitsOutliveRestarts(t *testing.T) {
-	t.Parallel()
 	playLarge(t, 24, false, func(l *large) {
 		p := newLimited(l, 8)
 		p.nameAll(0.3, 1.5, 10)
@@ -107,7 +104,6 @@
 // Targets with limits where no instance runs have an owner elsewhere: with none they would get
 // nothing, nor be asked whether their limits are over.
 func TestAnnouncedLimitsWhereNoInstanceRuns(t *testing.T) {
-	t.Parallel()
 	playLarge(t, 24, false, func(l *large) {
 		p := newLimited(l, 0)
 		for i := range 4 {
@@ -126,7 +122,6 @@
 // Each half of a data centre that is cut in two has owners of its own, which together give no
 // more than a limit allows.
 func TestAnnouncedLimitsHoldInPartsOfADataCentre(t *testing.T) {
-	t.Parallel()
 	playLarge(t, 36, false, func(l *large) {
 		p := newLimited(l, 8)
 		p.nameAll(0.3, 1.5, 10, 40)
@@ -149,7 +144,6 @@
 // Where all targets of a service have limits, requests wait for what these allow, which is
 // used, and are told when to come back. Once the limits are over all are served again.
 func TestAllTargetsMayAnnounceLimits(t *testing.T) {
-	t.Parallel()
 	playLarge(t, 36, false, func(l *large) {
 		p := newLimited(l, 4)
 		p.nameAll(0.3, 1.5, 10, 20)
--- a/node/size_test.go
+++ b/node/size_test.go
@@ -55,6 +55,8 @@
 
 // playLarge starts so many instances at once, all of them listed in the directory as after
 // a restart unless it is the first start, and ends them after the test.
+// Its tests are not run beside others: hundreds of instances take all processors, and those that go
+// by real time then wait 120 ms for an answer that is on its way.
 func playLarge(t *testing.T, count int, first bool, test func(l *large)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -222,7 +224,6 @@
 // five calls an instance and more, 1,500 at 295 instances, the largest price of every day
 // there. What one has read the others can have from it.
 func TestRestartsOfAllCostOneCallAnInstance(t *testing.T) {
-	t.Parallel()
 	for _, count := range []int{30, 100, 300} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
 			t.Parallel()
@@ -245,7 +246,6 @@
 // The platform writes 200 rows of a table a second and turned a third of 295 instances
 // away that announced themselves at once; each also read all that it could have heard.
 func TestFirstStartsAreSpread(t *testing.T) {
-	t.Parallel()
 	for _, count := range []int{30, 100, 200} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
 			t.Parallel()
@@ -267,7 +267,6 @@
 // 48, so that after 1 s each took the others for lost and let through a sixth of customers'
 // limits: 17,000 of 50,000 requests of a day on which all were killed twice were refused.
 func TestDataCentresHearEachOtherAfterRestarts(t *testing.T) {
-	t.Parallel()
 	for _, count := range []int{30, 150} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
 			t.Parallel()
@@ -293,7 +292,6 @@
 // everyone of its data centre, an instance of 295 sent and took 190 statuses a second, on a
 // fifth of a core, and playing a day took more processor time than a day may.
 func TestDatagramsDontGrow(t *testing.T) {
-	t.Parallel()
 	const mostEach = 150
 	for _, count := range []int{30, 100, 240} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
@@ -334,7 +332,6 @@
 // Meanwhile an engine had several owners, each with its own book: where one counted 4
 // requests, the engine said that it ran 8 and let 6 wait.
 func TestInstancesAgreeOnOwners(t *testing.T) {
-	t.Parallel()
 	for _, count := range []int{30, 240} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
 			t.Parallel()
@@ -355,7 +352,6 @@
 // after it is back. With all trying, one that was down for 8 s had 10,000 calls of 295
 // instances, 0.13 of worth.
 func TestLostStoresAreTriedByFew(t *testing.T) {
-	t.Parallel()
 	const down = 8 * time.Second
 	for _, count := range []int{30, 120} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
--- a/node/told_test.go
+++ b/node/told_test.go
@@ -34,7 +34,6 @@
 // another data centre. Whichever instance it comes to next refuses it, well within the time
 // in which instances in touch have to know, also who was not there to be told.
 func TestAllInstancesKnowOfEnds(t *testing.T) {
-	t.Parallel()
 	for _, count := range []int{7, 30, 240} {
 		t.Run(fmt.Sprint(count, " instances"), func(t *testing.T) {
 			t.Parallel()
