--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/announced"
 	"github.com/shelfshelf/shelfshelf/crashes"
 	"github.com/shelfshelf/shelfshelf/rollout"
 )
@@ -21,7 +22,6 @@
 	useSize    = 15
 	speedSize  = 16
 	memberSize = 32
-	limitSize  = 26
 	framesSize = 400
 )
 
@@ -81,14 +81,7 @@
 		Digests         []wireDigest
 		Rollouts        []rollout.Wire
 		OrdersAsOf      uint64
-		Limits          []wireLimit
-	}
-	wireLimit struct {
-		_         struct{} `cbor:",toarray"`
-		Target    uint32
-		Named     bool
-		PerSecond float64
-		Version   uint64
+		Limits          []announced.Wire
 	}
 	wireDigest struct {
 		_          struct{} `cbor:",toarray"`
@@ -130,7 +123,7 @@
 // statusSize bounds the size of a status without its digests, in bytes.
 func statusSize(s shelfshelf.Status) int {
 	return framesSize + loadSize*len(s.Loads) + useSize*(len(s.Uses)+len(s.EndedUses)) + speedSize*len(s.Speeds) +
-		limitSize*len(s.Limits) + crashes.WireSize(s.Crashes) + rollout.WireSize(s.Rollouts)
+		announced.WireSize*len(s.Limits) + crashes.WireSize(s.Crashes) + rollout.WireSize(s.Rollouts)
 }
 
 // digestSize bounds the size of a digest, in bytes.
@@ -168,7 +161,7 @@
 		Crashes:         crashes.ToWire(s.Crashes),
 		Rollouts:        rollout.ToWire(s.Rollouts),
 		OrdersAsOf:      s.OrdersAsOf,
-		Limits:          limitsToWire(s.Limits),
+		Limits:          announced.ToWire(s.Limits),
 	}
 	for _, digest := range s.Digests {
 		wire.Digests = append(wire.Digests, wireDigest{
@@ -221,7 +214,7 @@
 			Crashes:        crashes.FromWire(wire.Crashes),
 			Rollouts:       rollout.FromWire(wire.Rollouts),
 			OrdersAsOf:     wire.OrdersAsOf,
-			Limits:         limitsFromWire(wire.Limits),
+			Limits:         announced.FromWire(wire.Limits),
 		},
 		stamp:           time.Duration(wire.Stamp),
 		echo:            time.Duration(wire.Echo),
@@ -330,25 +323,3 @@
 	}
 	return speeds
 }
-
-func limitsToWire(limits []shelfshelf.TargetLimit) []wireLimit {
-	wire := make([]wireLimit, len(limits))
-	for i, told := range limits {
-		wire[i] = wireLimit{
-			Target: uint32(told.Target), Named: told.Limit.Named, PerSecond: told.Limit.PerSecond, Version: told.Version,
-		}
-	}
-	return wire
-}
-
-// limitsFromWire leaves out limits that are no number of requests.
-func limitsFromWire(wire []wireLimit) []shelfshelf.TargetLimit {
-	var limits []shelfshelf.TargetLimit
-	for _, told := range wire {
-		limit := shelfshelf.RateLimit{Named: told.Named, PerSecond: told.PerSecond}
-		if limit.Valid() {
-			limits = append(limits, shelfshelf.TargetLimit{Target: shelfshelf.TargetKey(told.Target), Limit: limit, Version: told.Version})
-		}
-	}
-	return limits
-}
--- a/places/wire.go
+++ b/places/wire.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/announced"
 )
 
 // Marker is the first byte of every datagram of this package; it tells them from
@@ -62,15 +63,9 @@
 		Requests    int
 		RestMillis  int64
 		Held        []wirePlace
-		Limit       *wireLimit
-	}
-	// wireLimit is what the sender of an ask knows of its target's limit. Nearly all messages
-	// have none, which takes one byte instead of 12 of some 40.
-	wireLimit struct {
-		_         struct{} `cbor:",toarray"`
-		Named     bool
-		PerSecond float64
-		Version   uint64
+		// Limits holds what the sender of an ask knows of its target's limit. Nearly all messages
+		// have none, which takes one byte of some 40.
+		Limits []announced.Wire
 	}
 	wirePlace struct {
 		_      struct{} `cbor:",toarray"`
@@ -93,7 +88,9 @@
 		Outcome:     uint8(m.outcome),
 		Requests:    m.requests,
 		RestMillis:  ceilMillis(m.rest),
-		Limit:       limitToWire(m.ask.Limit),
+	}
+	if m.ask.Limit.Version > 0 {
+		wire.Limits = announced.ToWire([]shelfshelf.TargetLimit{m.ask.Limit})
 	}
 	for id, target := range m.held {
 		wire.Held = append(wire.Held, wirePlace{ID: uint64(id), Target: uint32(target)})
@@ -129,7 +126,11 @@
 		requests: wire.Requests,
 		rest:     time.Duration(wire.RestMillis) * time.Millisecond,
 	}
-	m.ask.Limit = limitFromWire(m.ask.Target, wire.Limit)
+	for _, told := range announced.FromWire(wire.Limits) {
+		if told.Target == m.ask.Target {
+			m.ask.Limit = told
+		}
+	}
 	if len(wire.Held) > 0 {
 		m.held = make(map[shelfshelf.PlaceID]shelfshelf.TargetKey, len(wire.Held))
 	}
@@ -139,25 +140,6 @@
 	return m, nil
 }
 
-func limitToWire(told shelfshelf.TargetLimit) *wireLimit {
-	if told.Version == 0 {
-		return nil
-	}
-	return &wireLimit{Named: told.Limit.Named, PerSecond: told.Limit.PerSecond, Version: told.Version}
-}
-
-// limitFromWire takes a limit that is no number of requests for none.
-func limitFromWire(target shelfshelf.TargetKey, wire *wireLimit) shelfshelf.TargetLimit {
-	if wire == nil || wire.Version == 0 {
-		return shelfshelf.TargetLimit{}
-	}
-	limit := shelfshelf.RateLimit{Named: wire.Named, PerSecond: wire.PerSecond}
-	if !limit.Valid() {
-		return shelfshelf.TargetLimit{}
-	}
-	return shelfshelf.TargetLimit{Target: target, Limit: limit, Version: wire.Version}
-}
-
 // ceilMillis rounds up: who asks again before a rest is over asks in vain.
 func ceilMillis(d time.Duration) int64 {
 	return int64((d + time.Millisecond - 1) / time.Millisecond)
--- a/rollout/era.go
+++ b/rollout/era.go
@@ -58,8 +58,7 @@
 	}
 }
 
-// restorePause is the time between two tries to write orders down again, and to see whether
-// another instance has done it.
+// restorePause is the time between two tries to write orders down again.
 const restorePause = time.Second
 
 // restore writes orders down again that the store has lost with what was written since its copy,
