catalog: when a doubt began is kept once

All doubts begin with the return of the source, whose instant the catalog has already; each kept a copy of it. Behaviour unchanged: tests of catalog, relay and of the store's returns in node pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -93,7 +93,7 @@
 	// returnedAt is when the source was found to have come back from an older copy, doubted the
 	// targets that it may wrongly have as ready since, and left those that left lately.
 	returnedAt time.Time
-	doubted    map[shelfshelf.TargetName]departure
+	doubted    map[shelfshelf.TargetName]shelfshelf.Target
 	left       map[shelfshelf.TargetName]departure
 	// outageEnded is when the source last came back from an outage.
 	outageEnded time.Time
--- a/catalog/doubt.go
+++ b/catalog/doubt.go
@@ -16,7 +16,7 @@
 	leftKept = time.Minute
 )
 
-// departure is a target that is leaving or has left, as it was last known.
+// departure is a target that has left, as it was last known.
 type departure struct {
 	target shelfshelf.Target
 	at     time.Time
@@ -30,15 +30,15 @@
 		return false
 	}
 	c.returnedAt = now
-	c.doubted = make(map[shelfshelf.TargetName]departure)
+	c.doubted = make(map[shelfshelf.TargetName]shelfshelf.Target)
 	for name, target := range c.targets {
 		if target.Leaving {
-			c.doubted[name] = departure{target: target, at: now}
+			c.doubted[name] = target
 		}
 	}
 	for name, gone := range c.left {
 		if now.Sub(gone.at) < leftKept {
-			c.doubted[name] = departure{target: gone.target, at: now}
+			c.doubted[name] = gone.target
 		}
 	}
 	c.wakeExpiry()
@@ -72,7 +72,7 @@
 // The lock is held.
 func (c *Catalog) trusted(target shelfshelf.Target, now time.Time) shelfshelf.Target {
 	gone, doubted := c.doubted[target.Name]
-	if doubted && now.Sub(gone.at) < doubtTime && gone.target.SameLife(target) {
+	if doubted && now.Sub(c.returnedAt) < doubtTime && gone.SameLife(target) {
 		target.Leaving = true
 	}
 	return target
