The log tells what targets say of leaving and of rest with their answers

The line on a request's end now has targetLeaves, the line on a failed attempt targetLeaves, targetRest, asked and alone. Nothing is decided by it yet.

--- a/call.go
+++ b/call.go
@@ -69,6 +69,15 @@
 	// can't be read, empty if all can.
 	Limit       RateLimit
 	LimitUnread string
+	// Leaving says that the target is about to stop and wants nothing more, and
+	// LeavingUnread what it says of that that can't be read.
+	Leaving       bool
+	LeavingUnread string
+	// Rest is for how long a target that has turned the request away wants nothing more of
+	// this instance, 0 if it doesn't say, and RestUnread what it says of that that can't be
+	// read.
+	Rest       time.Duration
+	RestUnread string
 }
 
 // CallCodec reads and writes the headers of calls and answers.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -169,6 +169,9 @@
 	if c.load.Limit.Named {
 		fields = append(fields, "targetLimit", c.load.Limit.PerSecond)
 	}
+	if c.load.Leaving {
+		fields = append(fields, "targetLeaves", true)
+	}
 	if !c.firstByte.IsZero() {
 		fields = append(fields, "first", c.firstByte.Sub(c.arrived))
 	}
@@ -353,9 +356,16 @@
 // attemptFailed logs why an attempt failed, and has it looked into whether its target ended.
 func (c *request) attemptFailed(lease *balance.Lease, began time.Time, cause error) {
 	c.server.Metrics.attemptFailed()
-	c.server.Log.Warn("An attempt has failed.", "request", c.call.ID, "fingerprint", c.fingerprint, "target", lease.Target.Name,
+	fields := []any{
+		"request", c.call.ID, "fingerprint", c.fingerprint, "target", lease.Target.Name,
 		"address", lease.Target.Address, "after", c.server.Clock.Now().Sub(began), "sent", c.sent,
-		"mayHaveRun", c.mayHaveRun, "passed", c.passed, "error", cause)
+		"mayHaveRun", c.mayHaveRun, "passed", c.passed, "asked", lease.Asked, "alone", lease.Alone, "error", cause,
+	}
+	var status *statusError
+	if errors.As(cause, &status) {
+		fields = append(fields, "targetLeaves", status.answer.Leaving, "targetRest", status.answer.Rest)
+	}
+	c.server.Log.Warn("An attempt has failed.", fields...)
 	c.broken(lease, cause)
 }
 
