Tests of targets that leave or want rest by their answers, which fail

Targets of the stand-in now say in their answers that they leave, and turn requests away with the rest that they want.

--- a/fake/server.go
+++ b/fake/server.go
@@ -99,10 +99,11 @@
 	// Die ends the process, with all that it runs; needed where a body is deadly.
 	Die func()
 
-	mu     sync.Mutex
-	faults ServerFaults
-	limit  string
-	runs   []*Run
+	mu       sync.Mutex
+	faults   ServerFaults
+	words    words
+	runs     []*Run
+	arrivals []Arrival
 }
 
 // SetFaults replaces the faults.
@@ -112,22 +113,6 @@
 	s.faults = faults
 }
 
-// SetLimit has it name how many requests a second it takes from all together, a header's text;
-// empty means that it names none.
-func (s *Server) SetLimit(text string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.limit = text
-}
-
-func (s *Server) nameLimit(header http.Header) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.limit != "" {
-		header.Set("Server-Limit", s.limit)
-	}
-}
-
 // Runs returns the requests that it has begun to work on.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -156,8 +141,9 @@
 	s.mu.Lock()
 	faults := s.faults
 	s.mu.Unlock()
-	s.nameLimit(w.Header())
-	if faults.Refuse {
+	number, rests := s.speak(w.Header(), r)
+	defer s.answered(number, r)
+	if faults.Refuse || rests {
 		w.Header().Set("X-Shelfshelf-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -171,12 +157,7 @@
 	w.Header().Set("X-Shelfshelf-Response-Signature", s.Signature(id))
 	w.Header().Set("X-Shelfshelf-Server-Load", "1,0,8")
 	if faults.bad(run, s.running()-1) {
-		fails := rand.Float64() < faults.FailShare
-		faults.Fail = faults.Fail || fails
-		faults.Slow += faults.Late
-		s.mu.Lock()
-		run.Bad = fails || faults.Late > 0
-		s.mu.Unlock()
+		faults = s.worsen(run, faults)
 	}
 	switch {
 	case faults.Deadly != "" && run.Body == faults.Deadly:
@@ -198,6 +179,17 @@
 	}
 }
 
+// worsen has the faults of a bad version meet a request.
+func (s *Server) worsen(run *Run, faults ServerFaults) ServerFaults {
+	fails := rand.Float64() < faults.FailShare
+	faults.Fail = faults.Fail || fails
+	faults.Slow += faults.Late
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.Bad = fails || faults.Late > 0
+	return faults
+}
+
 func (s *Server) begin(id string, r *http.Request) (*Run, error) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/node/limited_test.go
+++ b/node/limited_test.go
@@ -38,6 +38,9 @@
 type limited struct {
 	*large
 	targets map[string]*fake.Server
+	// addresses and centres are where the targets are.
+	addresses map[string]string
+	centres   map[string]string
 	// limits are the requests a second that targets have named, and since when.
 	limits  map[string]float64
 	namedAt map[string]time.Time
@@ -45,10 +48,14 @@
 	mu sync.Mutex
 	// answers counts callers' answers by kind of target and status.
 	answers map[string]int
+	// refused are the requests that were refused.
+	refused []string
 	// refusable says that requests may be refused: no target takes what comes.
 	refusable bool
 	// away are the instances that are cut off.
 	away map[int]bool
+	// few is how many instances callers come to, the first ones; 0 means all.
+	few int
 }
 
 // newLimited lists targets of each kind and waits until instances know them.
@@ -56,6 +63,7 @@
 	p := &limited{
 		large: l, targets: make(map[string]*fake.Server), limits: make(map[string]float64),
 		namedAt: make(map[string]time.Time), answers: make(map[string]int), away: make(map[int]bool),
+		addresses: make(map[string]string), centres: make(map[string]string),
 	}
 	l.put("op", "config", object{
 		"Version": 2, "Routes": []object{
@@ -83,6 +91,7 @@
 	listener := p.network.Listen(ip, "80")
 	p.ended.Go(func() { _ = process.Serve(listener) })
 	p.targets[name] = server
+	p.addresses[name], p.centres[name] = ip+":80", centre
 	p.put("servers", name, object{"Service": service, "Address": ip + ":80", "Zone": centre, "Slots": 8, "State": "ready"})
 }
 
@@ -117,6 +126,9 @@
 	end := p.clock.Now().Add(span)
 	for count := 0; p.clock.Now().Before(end); count++ {
 		i := rand.IntN(len(p.instances))
+		if p.few > 0 {
+			i = rand.IntN(p.few)
+		}
 		if !p.isAway(i) {
 			kind := []string{"e", "p"}[count%2]
 			callers.Go(func() { p.call(clients[i], i, kind, count) })
@@ -143,7 +155,8 @@
 		return
 	}
 	request.Host = "h.example"
-	request.Header.Set("X-Shelfshelf-Request-Id", fmt.Sprintf("%s-%d-%d", kind, p.clock.Now().UnixNano(), count))
+	id := fmt.Sprintf("%s-%d-%d", kind, p.clock.Now().UnixNano(), count)
+	request.Header.Set("X-Shelfshelf-Request-Id", id)
 	request.Header.Set("X-Shelfshelf-Request-Deadline", "8000")
 	request.Header.Set("Authorization", "Bearer k1")
 	wasAway := p.isAway(at)
@@ -160,6 +173,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.answers[kind+" "+status]++
+	if status == "503" {
+		p.refused = append(p.refused, id)
+	}
 }
 
 func (p *limited) isAway(i int) bool {
