A target that says in its answers that it leaves gets nothing more

What callers saw: nothing, or a stream that broke off as its target ended. Targets whose answers said that they leave went on getting requests as long as their entries said ready, 12 s and more where the store was away.

Cause: of a target's own words only load and limit were read, and what an instance believes of a target's end came from its entry alone. Ruled out: that the entry goes before a word that was read (nothing read it), and places given before it (the requests were sent 11.9 s after it).

Change: package announced keeps beside a target's limit that it leaves, by life (born): the word is final within a life, whatever later answers and entries say, outlives the entry, and ends with a later life. Every head of an answer that is read is told to it. Instances tell each other, as they do of limits; told are only changes, and targets whose entries don't say it. The balancer takes such a target for one whose entry says so, and so does whoever looks whether a target has ended under a request.

A message's word grows from 26 to 36 bytes at most.

--- a/announced/doc.go
+++ b/announced/doc.go
@@ -1,5 +1,6 @@
-// Package announced knows the limits that targets announce: how many requests a second one
-// takes from all instances together, for as long as its answers say so.
+// Package announced knows what targets say of themselves in their answers: how many requests a
+// second one takes from all instances together, for as long as its answers say so, and that it
+// leaves, which holds for the rest of its life.
 //
 // Every answer that this instance reads is told to the Record, whoever asked for it, and
 // instances tell each other what they know with their statuses and with each ask for a place.
--- a/announced/record.go
+++ b/announced/record.go
@@ -14,6 +14,9 @@
 	// endKept is how long the end of a limit is remembered, so that older words of it that
 	// are still on their way don't bring it back.
 	endKept = time.Minute
+	// leavingKept is how long it is remembered of a target that isn't listed that it leaves:
+	// an entry that has lapsed while the store was away comes back as it was.
+	leavingKept = time.Hour
 	// logPause is the least time between two lines, and between two statuses out of turn,
 	// on one target.
 	logPause = time.Second
@@ -22,12 +25,12 @@
 	sameShare = 0.05
 )
 
-// Record is what is known of targets' limits; of a target, the word of the highest version
-// counts. Fields are set before use. It is safe for concurrent use.
+// Record is what targets have said of themselves. Fields are set before use. It is safe for
+// concurrent use.
 type Record struct {
 	Clock shelfshelf.Clock
 	Log   *log.Logger
-	// Changed is called after a target's limit has changed; tell says that this instance
+	// Changed is called after a target has said something new; tell says that this instance
 	// read it itself, so that the others have to hear of it, and that the last such change
 	// of the target was not just now.
 	Changed func(target shelfshelf.TargetKey, tell bool)
@@ -40,50 +43,44 @@
 	listed map[shelfshelf.TargetKey]shelfshelf.Target
 	// next is where the next status goes on.
 	next shelfshelf.TargetKey
-	// unreadAt is when the log last had a line on a limit that can't be read.
+	// unreadAt is when the log last had a line on a word that can't be read.
 	unreadAt time.Time
 }
 
-// word is the newest of a target.
+// word is what a target has said in its latest life that is known.
 type word struct {
-	limit   shelfshelf.RateLimit
-	version uint64
+	shelfshelf.TargetWord
 	// namedAt is when this instance last read or heard that there is a limit, and changedAt
 	// when it learnt of the latest change.
 	namedAt   time.Time
 	changedAt time.Time
-	// loggedAt is when the log had a line on it.
+	// loggedAt is when the log had a line on its limit.
 	loggedAt time.Time
-}
-
-// change is what became of a word, for those who have to hear of it.
-type change struct {
-	target  shelfshelf.TargetName
-	key     shelfshelf.TargetKey
-	limit   shelfshelf.RateLimit
-	changed bool
-	logged  bool
+	// listedAt is when the target was last known to be listed.
+	listedAt time.Time
 }
 
 // Answered takes what a target says with its answer to a request that was sent at an instant.
 // An answer without a limit ends one only if its request was sent after the limit was known
 // here: heads of answers pass each other on their way.
-func (r *Record) Answered(target shelfshelf.TargetName, answer shelfshelf.Answer, sent time.Time) {
-	if answer.LimitUnread != "" {
-		r.reportUnread(target, answer.LimitUnread)
-		return
-	}
-	unsaid := !answer.Limit.Named && r.known.Load() == 0
+func (r *Record) Answered(target shelfshelf.Target, answer shelfshelf.Answer, sent time.Time) {
+	r.reportUnread(target.Name, "limit", answer.LimitUnread)
+	r.reportUnread(target.Name, "leaving", answer.LeavingUnread)
+	unsaid := !answer.Announces() && r.known.Load() == 0
 	if unsaid || answer.OtherTarget {
 		return
 	}
-	c := r.read(shelfshelf.KeyOfTarget(target), answer.Limit, sent)
-	c.target = target
+	c := r.read(target, answer, sent)
+	c.target = target.Name
 	r.report(c, true)
 }
 
-// reportUnread logs a limit that is no number of requests, and leaves what is known as it is.
-func (r *Record) reportUnread(target shelfshelf.TargetName, text string) {
+// reportUnread logs what can't be read of a target's word, which changes nothing; an empty text
+// is nothing of that kind.
+func (r *Record) reportUnread(target shelfshelf.TargetName, word, text string) {
+	if text == "" {
+		return
+	}
 	r.mu.Lock()
 	now := r.Clock.Now()
 	report := now.Sub(r.unreadAt) >= logPause
@@ -92,29 +89,42 @@
 	}
 	r.mu.Unlock()
 	if report {
-		r.Log.Warn("A target's limit can't be read and changes nothing.", "target", target, "limit", text)
+		r.Log.Warn("A target's word can't be read and changes nothing.", "target", target, "word", word, "text", text)
 	}
 }
 
 // read takes what this instance has read itself.
-func (r *Record) read(key shelfshelf.TargetKey, limit shelfshelf.RateLimit, sent time.Time) change {
+func (r *Record) read(target shelfshelf.Target, answer shelfshelf.Answer, sent time.Time) change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Clock.Now()
+	key := shelfshelf.KeyOfTarget(target.Name)
 	w := r.words[key]
+	if w == nil && !answer.Announces() || w != nil && later(w.Born, target.Born) {
+		return change{}
+	}
+	now := r.Clock.Now()
+	told := shelfshelf.TargetWord{Target: key, Born: target.Born, Leaving: answer.Leaving}
+	if w != nil && !later(target.Born, w.Born) {
+		told.Version, told.Limit = w.Version, w.Limit
+	}
+	if answer.LimitUnread == "" && r.newLimit(w, told, answer.Limit, sent, now) {
+		told.Version++
+		told.Limit = answer.Limit
+	}
+	return r.take(told, now)
+}
+
+// newLimit reports that an answer changes the limit that is known of its target's life; the lock is
+// held.
+func (r *Record) newLimit(w *word, known shelfshelf.TargetWord, limit shelfshelf.RateLimit, sent, now time.Time) bool {
 	switch {
-	case limit.Named && w != nil && same(w.limit, limit):
+	case limit.Named && same(known.Limit, limit):
 		w.namedAt = now
-		return change{}
+		return false
 	case limit.Named:
-	case w == nil || !w.limit.Named || !sent.After(w.namedAt):
-		return change{}
+		return true
 	}
-	version := uint64(1)
-	if w != nil {
-		version = w.version + 1
-	}
-	return r.take(shelfshelf.TargetLimit{Target: key, Limit: limit, Version: version}, now)
+	return known.Limit.Named && sent.After(w.namedAt)
 }
 
 // same reports that two limits are as good as equal.
@@ -127,73 +137,87 @@
 }
 
 // Heard takes what another instance knows.
-func (r *Record) Heard(limits []shelfshelf.TargetLimit) {
-	for _, told := range limits {
+func (r *Record) Heard(words []shelfshelf.TargetWord) {
+	for _, told := range words {
 		r.report(r.hear(told), false)
 	}
 }
 
-func (r *Record) hear(told shelfshelf.TargetLimit) change {
+func (r *Record) hear(told shelfshelf.TargetWord) change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w := r.words[told.Target]; w != nil && !newer(told, w) || w == nil && told.Version == 0 {
+	if r.words[told.Target] == nil && told.Version == 0 && !told.Leaving && told.Born.IsZero() {
 		return change{}
 	}
 	return r.take(told, r.Clock.Now())
 }
 
-// newer reports that a word goes before the one known. Of two that were read at the same
-// moment the smaller limit does.
-func newer(told shelfshelf.TargetLimit, w *word) bool {
-	switch {
-	case told.Version != w.version:
-		return told.Version > w.version
-	case told.Limit.Named != w.limit.Named:
-		return told.Limit.Named
+// take joins a word with the one known; the lock is held. Joins come out the same in whatever
+// order words come and however often.
+func (r *Record) take(told shelfshelf.TargetWord, now time.Time) change {
+	w := r.words[told.Target]
+	if w != nil && later(w.Born, told.Born) {
+		return change{}
 	}
-	return told.Limit.PerSecond < w.limit.PerSecond
+	if w == nil {
+		w = newWord(told, now)
+		r.keep(w)
+	}
+	before := w.TargetWord
+	if later(told.Born, w.Born) {
+		*w = *newWord(told, now)
+	}
+	w.join(told, now)
+	return r.changed(before, w, now)
 }
 
-// take puts a word in the place of the one known; the lock is held.
-func (r *Record) take(told shelfshelf.TargetLimit, now time.Time) change {
+// newWord returns the word of a life that has said nothing.
+func newWord(of shelfshelf.TargetWord, now time.Time) *word {
+	return &word{TargetWord: shelfshelf.TargetWord{Target: of.Target, Born: of.Born}, changedAt: now, listedAt: now}
+}
+
+// keep adds a word; the lock is held.
+func (r *Record) keep(w *word) {
 	if r.words == nil {
 		r.words = make(map[shelfshelf.TargetKey]*word)
 	}
-	w := r.words[told.Target]
-	if w == nil {
-		w = &word{}
-		r.words[told.Target] = w
-		r.known.Store(int64(len(r.words)))
-	}
-	c := change{
-		target: r.listed[told.Target].Name, key: told.Target, limit: told.Limit,
-		changed: w.limit != told.Limit,
-	}
-	w.limit, w.version = told.Limit, told.Version
-	if told.Limit.Named {
-		w.namedAt = now
+	r.words[w.Target] = w
+	r.known.Store(int64(len(r.words)))
+}
+
+// later reports that a life is known to have begun after another one.
+func later(born, other time.Time) bool {
+	return !born.IsZero() && !other.IsZero() && born.After(other)
+}
+
+// join takes a word of the same life.
+func (w *word) join(told shelfshelf.TargetWord, now time.Time) {
+	if w.Born.IsZero() {
+		w.Born = told.Born
 	}
-	w.changedAt = now
-	if c.logged = c.changed && now.Sub(w.loggedAt) >= logPause; c.logged {
-		w.loggedAt = now
+	w.Leaving = w.Leaving || told.Leaving
+	if newer(told, w) {
+		w.Limit, w.Version = told.Limit, told.Version
+		if told.Limit.Named {
+			w.namedAt = now
+		}
 	}
-	return c
 }
 
-// report tells of a change, outside the lock.
-func (r *Record) report(c change, own bool) {
-	if !c.changed {
-		return
-	}
-	if c.logged {
-		r.Log.Info("A target's limit has changed.", "target", c.target, "named", c.limit.Named,
-			"perSecond", c.limit.PerSecond, "own", own)
+// newer reports that a limit goes before the one known. Of two that were read at the same
+// moment the smaller one does.
+func newer(told shelfshelf.TargetWord, w *word) bool {
+	switch {
+	case told.Version != w.Version:
+		return told.Version > w.Version
+	case told.Limit.Named != w.Limit.Named:
+		return told.Limit.Named
 	}
-	r.Changed(c.key, own && c.logged)
+	return told.Limit.PerSecond < w.Limit.PerSecond
 }
 
-// Targets takes the list of targets: a new life of one has announced nothing yet, and what is
-// not listed any more is forgotten once words of it no longer come.
+// Targets takes the list of targets: a new life of one has said nothing yet, and what is not
+// listed any more is forgotten once words of it no longer come.
 func (r *Record) Targets(targets []shelfshelf.Target) {
 	for _, c := range r.list(targets) {
 		r.report(c, false)
@@ -204,50 +228,73 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	before := r.listed
+	for key, w := range r.words {
+		if _, listed := r.listed[key]; listed {
+			w.listedAt = now
+		}
+	}
 	r.listed = make(map[shelfshelf.TargetKey]shelfshelf.Target, len(targets))
 	var changes []change
 	for _, target := range targets {
 		key := shelfshelf.KeyOfTarget(target.Name)
 		r.listed[key] = target
-		earlier, known := before[key]
-		if w := r.words[key]; w != nil && w.limit.Named && known && !earlier.SameLife(target) {
-			changes = append(changes, r.take(shelfshelf.TargetLimit{Target: key, Version: w.version + 1}, now))
+		if r.words[key] != nil {
+			changes = append(changes, r.take(shelfshelf.TargetWord{Target: key, Born: target.Born}, now))
 		}
 	}
+	r.forget(now)
+	return changes
+}
+
+// forget forgets limits that have been over for long, and what targets have said that are gone;
+// the lock is held.
+func (r *Record) forget(now time.Time) {
 	for key, w := range r.words {
-		if _, listed := r.listed[key]; !listed && now.Sub(w.changedAt) > endKept {
+		_, listed := r.listed[key]
+		kept := w.Leaving && (listed || now.Sub(w.listedAt) <= leavingKept) || w.Limit.Named && listed
+		if !kept && now.Sub(w.changedAt) > endKept {
 			delete(r.words, key)
 		}
 	}
 	r.known.Store(int64(len(r.words)))
-	return changes
 }
 
-// Limit returns a target's limit.
-func (r *Record) Limit(target shelfshelf.TargetKey) shelfshelf.TargetLimit {
+// Said returns what a target has said.
+func (r *Record) Said(target shelfshelf.TargetKey) shelfshelf.TargetWord {
 	if r.known.Load() == 0 {
-		return shelfshelf.TargetLimit{Target: target}
+		return shelfshelf.TargetWord{Target: target}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if w := r.words[target]; w != nil {
-		return w.told(target)
+		return w.TargetWord
 	}
-	return shelfshelf.TargetLimit{Target: target}
-}
-
-func (w *word) told(target shelfshelf.TargetKey) shelfshelf.TargetLimit {
-	return shelfshelf.TargetLimit{Target: target, Limit: w.limit, Version: w.version}
+	return shelfshelf.TargetWord{Target: target}
 }
 
 // Limited returns how many targets have a limit.
 func (r *Record) Limited() int {
+	return r.count(func(w *word) bool { return w.Limit.Named })
+}
+
+// Leaving returns how many listed targets say that they leave, though their entries don't.
+func (r *Record) Leaving() int {
+	return r.count(r.leavesUnlisted)
+}
+
+// leavesUnlisted reports that a listed target leaves though its entry doesn't say so; the lock is
+// held.
+func (r *Record) leavesUnlisted(w *word) bool {
+	target, listed := r.listed[w.Target]
+	return w.Leaving && listed && !target.Leaving
+}
+
+func (r *Record) count(counted func(*word) bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	count := 0
 	for _, w := range r.words {
-		if w.limit.Named {
+		if counted(w) {
 			count++
 		}
 	}
--- a/announced/record_test.go
+++ b/announced/record_test.go
@@ -15,9 +15,12 @@
 	"github.com/shelfshelf/shelfshelf/announced"
 )
 
-const target shelfshelf.TargetName = "t"
+const name shelfshelf.TargetName = "t"
 
-var key = shelfshelf.KeyOfTarget(target)
+var (
+	key    = shelfshelf.KeyOfTarget(name)
+	target = shelfshelf.Target{Name: name}
+)
 
 func named(perSecond float64) shelfshelf.Answer {
 	return shelfshelf.Answer{Limit: shelfshelf.RateLimit{Named: true, PerSecond: perSecond}}
@@ -31,7 +34,7 @@
 
 // perSecond returns a target's limit as a record knows it; -1 if there is none.
 func perSecond(r *announced.Record) float64 {
-	told := r.Limit(key)
+	told := r.Said(key)
 	if !told.Limit.Named {
 		return -1
 	}
@@ -67,13 +70,13 @@
 func TestLimitsBelongToALife(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	r := newRecord(clock)
-	r.Targets([]shelfshelf.Target{{Name: target, Born: time.Unix(1, 0)}})
+	r.Targets([]shelfshelf.Target{{Name: name, Born: time.Unix(1, 0)}})
 	r.Answered(target, named(2), clock.Now())
-	r.Targets([]shelfshelf.Target{{Name: target, Born: time.Unix(1, 0)}})
+	r.Targets([]shelfshelf.Target{{Name: name, Born: time.Unix(1, 0)}})
 	if got := perSecond(r); got != 2 {
 		t.Errorf("in the same life: %v", got)
 	}
-	r.Targets([]shelfshelf.Target{{Name: target, Born: time.Unix(2, 0)}})
+	r.Targets([]shelfshelf.Target{{Name: name, Born: time.Unix(2, 0)}})
 	if got := perSecond(r); got != -1 {
 		t.Errorf("in its second life: %v", got)
 	}
@@ -90,14 +93,14 @@
 	r := newRecord(clock)
 	const count = 100
 	for i := range count {
-		r.Heard([]shelfshelf.TargetLimit{{Target: shelfshelf.TargetKey(i + 1), Version: 1, Limit: shelfshelf.RateLimit{Named: true, PerSecond: 1}}})
+		r.Heard([]shelfshelf.TargetWord{{Target: shelfshelf.TargetKey(i + 1), Version: 1, Limit: shelfshelf.RateLimit{Named: true, PerSecond: 1}}})
 	}
 	clock.Advance(5 * time.Second)
 	r.Answered(target, named(3), clock.Now())
 	seen := make(map[shelfshelf.TargetKey]bool)
 	for range 7 {
 		told := r.Told()
-		if len(told) > 16 || !slices.ContainsFunc(told, func(l shelfshelf.TargetLimit) bool { return l.Target == key }) {
+		if len(told) > 16 || !slices.ContainsFunc(told, func(l shelfshelf.TargetWord) bool { return l.Target == key }) {
 			t.Errorf("%d words, the change is not among them: %+v", len(told), told)
 		}
 		for _, limit := range told {
@@ -109,16 +112,79 @@
 	}
 }
 
+// That a target leaves holds for its life, whatever its later answers and entries say, and also
+// where its entry was gone for a time. Its next life has not said it.
+func TestLeavingHoldsForALife(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRecord(clock)
+	first := shelfshelf.Target{Name: name, Born: time.Unix(1, 0)}
+	second := shelfshelf.Target{Name: name, Born: time.Unix(2, 0)}
+	r.Targets([]shelfshelf.Target{first})
+	r.Answered(first, shelfshelf.Answer{Leaving: true}, clock.Now())
+	clock.Advance(time.Second)
+	r.Answered(first, shelfshelf.Answer{}, clock.Now())
+	r.Answered(first, shelfshelf.Answer{OtherTarget: true}, clock.Now())
+	r.Targets(nil)
+	clock.Advance(10 * time.Minute)
+	if told := r.Told(); len(told) != 0 {
+		t.Errorf("a target that is gone is told of: %+v", told)
+	}
+	r.Targets([]shelfshelf.Target{first})
+	if !r.Said(key).Leaving || r.Leaving() != 1 || len(r.Told()) != 1 {
+		t.Errorf("after its entry came back: %+v, told %+v", r.Said(key), r.Told())
+	}
+	first.Leaving = true
+	r.Targets([]shelfshelf.Target{first})
+	if r.Leaving() != 0 || len(r.Told()) != 0 {
+		t.Errorf("what the entry says is told: %+v", r.Told())
+	}
+	r.Targets([]shelfshelf.Target{second})
+	if r.Said(key).Leaving {
+		t.Error("its second life leaves too")
+	}
+	// Words of its first life still come, and the store may list it from an older copy.
+	r.Heard([]shelfshelf.TargetWord{{Target: key, Born: first.Born, Leaving: true, Version: 9, Limit: shelfshelf.RateLimit{Named: true}}})
+	r.Answered(first, shelfshelf.Answer{Leaving: true}, clock.Now())
+	r.Targets([]shelfshelf.Target{first})
+	if said := r.Said(key); said.Leaving || said.Limit.Named {
+		t.Errorf("its first life speaks for its second one: %+v", said)
+	}
+}
+
+// A word that leaves nothing to read changes nothing.
+func TestUnreadWordsChangeNothing(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRecord(clock)
+	r.Answered(target, shelfshelf.Answer{LeavingUnread: "soon", LimitUnread: "few"}, clock.Now())
+	r.Answered(target, shelfshelf.Answer{Leaving: true, OtherTarget: true}, clock.Now())
+	if said := r.Said(key); said != (shelfshelf.TargetWord{Target: key}) {
+		t.Errorf("%+v", said)
+	}
+	r.Answered(target, shelfshelf.Answer{Leaving: true, LimitUnread: "few"}, clock.Now())
+	if !r.Said(key).Leaving {
+		t.Error("beside a limit that can't be read the word of leaving isn't read either")
+	}
+}
+
 // However words are lost, repeated and come in another order, instances that have heard the
-// same say the same, and the word that was read last by one that knew all others counts.
-func TestInstancesAgreeOnLimits(t *testing.T) {
+// same say the same, and the word that was read last by one that knew all others counts. Who
+// has read that a target leaves knows it until it hears of a later life.
+func TestInstancesAgreeOnWords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		lives := rapid.Bool().Draw(t, "lives are told")
+		born := func(t *rapid.T) time.Time {
+			if !lives {
+				return time.Time{}
+			}
+			return time.Unix(rapid.Int64Range(1, 3).Draw(t, "born"), 0)
+		}
+		var left [4]shelfshelf.TargetWord
 		clock := clockwork.NewFakeClock()
 		records := make([]*announced.Record, 4)
 		for i := range records {
 			records[i] = newRecord(clock)
 		}
-		var sent [][]shelfshelf.TargetLimit
+		var sent [][]shelfshelf.TargetWord
 		pick := rapid.IntRange(0, len(records)-1)
 		t.Repeat(map[string]func(*rapid.T){
 			"read": func(t *rapid.T) {
@@ -126,8 +192,25 @@
 				if rapid.Bool().Draw(t, "named") {
 					answer = named(rapid.Float64Range(0, 9).Draw(t, "limit"))
 				}
+				answer.Leaving = rapid.IntRange(0, 5).Draw(t, "leaves") == 0
 				clock.Advance(time.Millisecond)
-				records[pick.Draw(t, "by")].Answered(target, answer, clock.Now())
+				by := pick.Draw(t, "by")
+				of := shelfshelf.Target{Name: name, Born: born(t)}
+				records[by].Answered(of, answer, clock.Now())
+				if answer.Leaving && !of.Born.Before(left[by].Born) {
+					left[by] = shelfshelf.TargetWord{Leaving: true, Born: of.Born}
+				}
+			},
+			"list": func(t *rapid.T) {
+				records[pick.Draw(t, "at")].Targets([]shelfshelf.Target{{Name: name, Born: born(t)}})
+			},
+			"": func(t *rapid.T) {
+				for i, r := range records {
+					said := r.Said(key)
+					if left[i].Leaving && !said.Leaving && !said.Born.After(left[i].Born) {
+						t.Fatalf("%+v, though it leaves: %+v", said, left[i])
+					}
+				}
 			},
 			"tell": func(t *rapid.T) {
 				sent = append(sent, records[pick.Draw(t, "from")].Told())
@@ -146,16 +229,16 @@
 			}
 		}
 		for _, r := range records[1:] {
-			if diff := cmp.Diff(records[0].Told(), r.Told()); diff != "" {
+			if diff := cmp.Diff(records[0].Said(key), r.Said(key)); diff != "" {
 				t.Fatal(diff)
 			}
 		}
 		clock.Advance(time.Millisecond)
 		last := rapid.Float64Range(10, 20).Draw(t, "last")
-		records[0].Answered(target, named(last), clock.Now())
+		records[0].Answered(shelfshelf.Target{Name: name, Born: records[0].Said(key).Born}, named(last), clock.Now())
 		for _, r := range records {
 			r.Heard(records[0].Told())
-			r.Heard(append([]shelfshelf.TargetLimit(nil), records[1].Told()...))
+			r.Heard(append([]shelfshelf.TargetWord(nil), records[1].Told()...))
 			if perSecond(r) != last {
 				t.Fatalf("%v, not %v", perSecond(r), last)
 			}
--- a/announced/tell.go
+++ b/announced/tell.go
@@ -13,27 +13,27 @@
 	// within half a second.
 	newsTime = time.Second
 	// toldAtMost bounds the words in one status; of more, each status takes the next ones.
-	// 600 limited targets are told in 38 statuses, within 10 s.
+	// 600 words are told in 38 statuses, within 10 s.
 	toldAtMost = 16
 )
 
 // Told returns what the next status says: what has changed lately, and of all else the next
 // part.
-func (r *Record) Told() []shelfshelf.TargetLimit {
+func (r *Record) Told() []shelfshelf.TargetWord {
 	if r.known.Load() == 0 {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	r.forgetEnds(now)
-	keys := r.inTurn()
-	var told []shelfshelf.TargetLimit
+	r.forget(now)
+	keys := r.inTurn(now)
+	var told []shelfshelf.TargetWord
 	for _, news := range []bool{true, false} {
 		for _, key := range keys {
 			w := r.words[key]
-			if len(told) < toldAtMost && now.Sub(w.changedAt) < newsTime == news {
-				told = append(told, w.told(key))
+			if len(told) < toldAtMost && w.isNews(now) == news {
+				told = append(told, w.TargetWord)
 				r.next = key + 1
 			}
 		}
@@ -41,11 +41,16 @@
 	return told
 }
 
-// inTurn returns all targets with a word, from where the last status ended; the lock is held.
-func (r *Record) inTurn() []shelfshelf.TargetKey {
+func (w *word) isNews(now time.Time) bool { return now.Sub(w.changedAt) < newsTime }
+
+// inTurn returns all targets with a word to tell, from where the last status ended; the lock is
+// held. That a target leaves whose entry says so, or is gone, everyone knows.
+func (r *Record) inTurn(now time.Time) []shelfshelf.TargetKey {
 	keys := make([]shelfshelf.TargetKey, 0, len(r.words))
-	for key := range r.words {
-		keys = append(keys, key)
+	for key, w := range r.words {
+		if w.Version > 0 || w.isNews(now) || r.leavesUnlisted(w) {
+			keys = append(keys, key)
+		}
 	}
 	slices.SortFunc(keys, func(a, b shelfshelf.TargetKey) int {
 		if (a >= r.next) != (b >= r.next) {
@@ -58,13 +63,3 @@
 	})
 	return keys
 }
-
-// forgetEnds forgets limits that have been over for long; the lock is held.
-func (r *Record) forgetEnds(now time.Time) {
-	for key, w := range r.words {
-		if !w.limit.Named && now.Sub(w.changedAt) > endKept {
-			delete(r.words, key)
-		}
-	}
-	r.known.Store(int64(len(r.words)))
-}
--- a/announced/wire.go
+++ b/announced/wire.go
@@ -1,38 +1,56 @@
 package announced
 
-import "github.com/shelfshelf/shelfshelf"
+import (
+	"time"
 
-// WireSize bounds the size of one limit in a message, in bytes.
-const WireSize = 26
+	"github.com/shelfshelf/shelfshelf"
+)
 
-// Wire is what is known of a target's limit as instances tell it.
+// WireSize bounds the size of one word in a message, in bytes.
+const WireSize = 36
+
+// Wire is what a target has said of itself as instances tell it.
 type Wire struct {
 	_         struct{} `cbor:",toarray"`
 	Target    uint32
 	Named     bool
 	PerSecond float64
 	Version   uint64
+	Leaving   bool
+	// Born is in Unix milliseconds, 0 if it isn't known.
+	Born int64
 }
 
-// ToWire returns the form in which limits are told; nil, of one byte, if there are none.
-func ToWire(limits []shelfshelf.TargetLimit) []Wire {
+// ToWire returns the form in which words are told; nil, of one byte, if there are none.
+func ToWire(words []shelfshelf.TargetWord) []Wire {
 	var wire []Wire
-	for _, told := range limits {
-		wire = append(wire, Wire{
+	for _, told := range words {
+		w := Wire{
 			Target: uint32(told.Target), Named: told.Limit.Named, PerSecond: told.Limit.PerSecond, Version: told.Version,
-		})
+			Leaving: told.Leaving,
+		}
+		if !told.Born.IsZero() {
+			w.Born = told.Born.UnixMilli()
+		}
+		wire = append(wire, w)
 	}
 	return wire
 }
 
-// FromWire leaves out limits that are no number of requests.
-func FromWire(wire []Wire) []shelfshelf.TargetLimit {
-	var limits []shelfshelf.TargetLimit
+// FromWire leaves out words whose limits are no number of requests.
+func FromWire(wire []Wire) []shelfshelf.TargetWord {
+	var words []shelfshelf.TargetWord
 	for _, told := range wire {
-		limit := shelfshelf.RateLimit{Named: told.Named, PerSecond: told.PerSecond}
-		if limit.Valid() {
-			limits = append(limits, shelfshelf.TargetLimit{Target: shelfshelf.TargetKey(told.Target), Limit: limit, Version: told.Version})
+		word := shelfshelf.TargetWord{
+			Target: shelfshelf.TargetKey(told.Target), Limit: shelfshelf.RateLimit{Named: told.Named, PerSecond: told.PerSecond},
+			Version: told.Version, Leaving: told.Leaving,
+		}
+		if told.Born != 0 {
+			word.Born = time.UnixMilli(told.Born)
+		}
+		if word.Limit.Valid() {
+			words = append(words, word)
 		}
 	}
-	return limits
+	return words
 }
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -80,9 +80,9 @@
 	Places shelfshelf.Places
 	// Rollouts says which versions of targets requests go to; nil means any.
 	Rollouts shelfshelf.Rollouts
-	// Limits knows what targets have announced; nil means nothing. Those with a limit get
-	// only what their owners give, so that without Places they get nothing.
-	Limits shelfshelf.AnnouncedLimits
+	// Announced knows what targets have said of themselves; nil means nothing. Those with a
+	// limit get only what their owners give, so that without Places they get nothing.
+	Announced shelfshelf.Announcements
 
 	mu      sync.Mutex
 	pools   map[shelfshelf.PoolName]*pool
@@ -150,12 +150,12 @@
 		state.slots = max(target.Slots, 1)
 		b.targets[target.Name] = state
 		state.key = shelfshelf.KeyOfTarget(target.Name)
-		b.recallLimit(state)
+		b.recallWord(state)
 		b.keys[state.key] = state
 		if p := b.pools[target.Pool]; p != nil {
 			state.engine = p.spec.Engine != nil
 			p.targets = append(p.targets, state)
-			p.listed = append(p.listed, target)
+			p.listed = append(p.listed, state.target)
 		}
 	}
 	for name := range old {
--- a/balance/limited.go
+++ b/balance/limited.go
@@ -18,28 +18,46 @@
 )
 
 // limited reports that the target has announced a limit, as far as is known here.
-func (t *targetState) limited() bool { return t.limit.Limit.Named }
+func (t *targetState) limited() bool { return t.said.Limit.Named }
 
-// LimitChanged takes a change of what a target has announced.
-func (b *Balancer) LimitChanged(key shelfshelf.TargetKey) {
+// WordChanged takes what a target has newly said of itself.
+func (b *Balancer) WordChanged(key shelfshelf.TargetKey) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.keys[key]
 	if t == nil {
 		return
 	}
-	b.recallLimit(t)
-	if p := b.pools[t.target.Pool]; p != nil && !t.limited() {
+	b.recallWord(t)
+	p := b.pools[t.target.Pool]
+	if p == nil {
+		return
+	}
+	p.relist(t)
+	if !t.limited() {
 		b.pump(p, b.Clock.Now())
 	}
 }
 
-// recallLimit notes what is known of a target's limit; the lock is held.
-func (b *Balancer) recallLimit(t *targetState) {
-	if b.Limits == nil {
+// relist puts a target into the list as it now stands; those who were given the list keep the
+// old one.
+func (p *pool) relist(t *targetState) {
+	p.listed = slices.Clone(p.listed)
+	for i, listed := range p.listed {
+		if listed.Name == t.target.Name {
+			p.listed[i] = t.target
+		}
+	}
+}
+
+// recallWord notes what a target has said of itself; the lock is held.
+func (b *Balancer) recallWord(t *targetState) {
+	if b.Announced == nil {
 		return
 	}
-	t.limit = b.Limits.Limit(t.key)
+	t.said = b.Announced.Said(t.key)
+	// The entry may say it later than the target's answers, or never while the store is away.
+	t.target.Leaving = t.target.Leaving || t.said.Leaving
 	if !t.limited() {
 		t.pacedUntil = time.Time{}
 	}
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -111,7 +111,7 @@
 			Tier:       a.need.Tier,
 			Stay:       p.expectStay(best, a.need, b.unread(best, a.need, now), now),
 			Wait:       max(a.need.WaitUntil.Sub(now), 0),
-			Limit:      best.limit,
+			Said:       best.said,
 		}
 	}
 	return best
@@ -132,7 +132,7 @@
 		a.waits[answer.ID] = t
 		return nil
 	case shelfshelf.PlaceUnanswered:
-		if a.next.Limit.Limit.Named {
+		if a.next.Said.Limit.Named {
 			return a.passBy(t, answer.ID)
 		}
 		a.waits[answer.ID] = t
@@ -144,7 +144,7 @@
 		b.hearRest(t, answer.Rest)
 		return nil
 	case shelfshelf.PlaceUnknown:
-		if a.next.Limit.Limit.Named {
+		if a.next.Said.Limit.Named {
 			return a.passBy(t, answer.ID)
 		}
 	}
--- a/balance/target.go
+++ b/balance/target.go
@@ -74,9 +74,9 @@
 	// restUntil keeps new work away after the target could not be reached.
 	restUntil time.Time
 	rest      time.Duration
-	// limit is what the target has announced, and pacedUntil keeps its owner from being asked
-	// again before the limit allows another request.
-	limit      shelfshelf.TargetLimit
+	// said is what the target has said of itself, and pacedUntil keeps its owner from being asked
+	// again before its limit allows another request.
+	said       shelfshelf.TargetWord
 	pacedUntil time.Time
 }
 
--- a/call.go
+++ b/call.go
@@ -80,6 +80,10 @@
 	RestUnread string
 }
 
+// Announces reports that a target says something with its answer that concerns the requests
+// after it too.
+func (a Answer) Announces() bool { return a.Limit.Named || a.Leaving }
+
 // CallCodec reads and writes the headers of calls and answers.
 type CallCodec interface {
 	// Call reads what a caller says; the error is ErrBadCall.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -316,7 +316,7 @@
 	}
 	response, err := c.server.Upstream.Send(ctx, lease.Target.Address, upstream.Request{
 		ID:     c.call.ID,
-		To:     lease.Target.Name,
+		To:     lease.Target,
 		Method: c.http.Method,
 		Target: c.http.RequestURI,
 		Host:   c.http.Host,
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -63,8 +63,9 @@
 					Barred: []shelfshelf.TargetVersion{"v0", "v1"},
 				}},
 				OrdersAsOf: rapid.Uint64().Draw(t, "orders as of"),
-				Limits: []shelfshelf.TargetLimit{{
-					Target: 3, Version: rapid.Uint64().Draw(t, "limit"),
+				Words: []shelfshelf.TargetWord{{
+					Target: 3, Version: rapid.Uint64().Draw(t, "limit"), Leaving: rapid.Bool().Draw(t, "leaving"),
+					Born:  time.UnixMilli(rapid.Int64Range(1, 1e15).Draw(t, "born")),
 					Limit: shelfshelf.RateLimit{Named: rapid.Bool().Draw(t, "named"), PerSecond: rapid.Float64Range(0, 1e6).Draw(t, "a second")},
 				}},
 				Digests: []shelfshelf.Digest{{
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -14,7 +14,7 @@
 )
 
 // wireVersion changes with the form of messages.
-const wireVersion = 8
+const wireVersion = 9
 
 // The most bytes that one entry takes in CBOR, and all else of a message or a digest.
 const (
@@ -81,7 +81,7 @@
 		Digests         []wireDigest
 		Rollouts        []rollout.Wire
 		OrdersAsOf      uint64
-		Limits          []announced.Wire
+		Words           []announced.Wire
 	}
 	wireDigest struct {
 		_          struct{} `cbor:",toarray"`
@@ -123,7 +123,7 @@
 // statusSize bounds the size of a status without its digests, in bytes.
 func statusSize(s shelfshelf.Status) int {
 	return framesSize + loadSize*len(s.Loads) + useSize*(len(s.Uses)+len(s.EndedUses)) + speedSize*len(s.Speeds) +
-		announced.WireSize*len(s.Limits) + crashes.WireSize(s.Crashes) + rollout.WireSize(s.Rollouts)
+		announced.WireSize*len(s.Words) + crashes.WireSize(s.Crashes) + rollout.WireSize(s.Rollouts)
 }
 
 // digestSize bounds the size of a digest, in bytes.
@@ -161,7 +161,7 @@
 		Crashes:         crashes.ToWire(s.Crashes),
 		Rollouts:        rollout.ToWire(s.Rollouts),
 		OrdersAsOf:      s.OrdersAsOf,
-		Limits:          announced.ToWire(s.Limits),
+		Words:           announced.ToWire(s.Words),
 	}
 	for _, digest := range s.Digests {
 		wire.Digests = append(wire.Digests, wireDigest{
@@ -214,7 +214,7 @@
 			Crashes:        crashes.FromWire(wire.Crashes),
 			Rollouts:       rollout.FromWire(wire.Rollouts),
 			OrdersAsOf:     wire.OrdersAsOf,
-			Limits:         announced.FromWire(wire.Limits),
+			Words:          announced.FromWire(wire.Words),
 		},
 		stamp:           time.Duration(wire.Stamp),
 		echo:            time.Duration(wire.Echo),
--- a/node/build.go
+++ b/node/build.go
@@ -32,14 +32,14 @@
 		Follow: n.follow, Begin: n.readsAtStart, Pace: n.pace, Changed: n.changed,
 		ConfirmPeriod: func() time.Duration { return n.leaseShare(confirmShare) },
 	}
-	n.limits = &announced.Record{Clock: n.Clock, Log: n.Log.WithPrefix("limits"), Changed: n.limitChanged}
+	n.words = &announced.Record{Clock: n.Clock, Log: n.Log.WithPrefix("announced"), Changed: n.wordChanged}
 	n.balancer = &balance.Balancer{
 		Clock:      n.Clock,
 		DataCentre: n.Settings.DataCentre,
 		Self:       n.Settings.Instance,
 		Fleet:      n,
 		Rollouts:   n.rollouts,
-		Limits:     n.limits,
+		Announced:  n.words,
 	}
 	n.rollouts.Running = n.balancer.Running
 	n.quota = &quota.Ledger{
@@ -85,14 +85,15 @@
 		},
 	}
 	n.crashKeeper.Init()
-	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec, Answered: n.limits.Answered}
+	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec, Answered: n.words.Answered}
 	if _, system := n.Sockets.(*systemSockets); !system {
 		n.upstream.Dial = n.Sockets.Dial
 	}
 	n.witness = &crashes.Witness{
-		Clock: n.Clock, Log: logger, Record: n.crashes, Reach: n.upstream.Reach, Target: n.catalog.Target,
+		Clock: n.Clock, Log: logger, Record: n.crashes, Reach: n.upstream.Reach, Target: n.target,
 	}
-	n.metrics.Gauge("shelf_targets_limited", func() float64 { return float64(n.limits.Limited()) })
+	n.metrics.Gauge("shelf_targets_limited", func() float64 { return float64(n.words.Limited()) })
+	n.metrics.Gauge("shelf_targets_leaving", func() float64 { return float64(n.words.Leaving()) })
 	n.metrics.Gauge("shelf_requests_held_back", func() float64 { return float64(n.crashes.HeldBack()) })
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -42,7 +42,7 @@
 		EndedUses:  n.quota.Ended(),
 		// Those that know the same of targets that ended say so with one number.
 		CrashesHash: n.crashes.Hash(),
-		Limits:      n.limits.Told(),
+		Words:       n.words.Told(),
 	}
 	status.Rollouts, status.OrdersAsOf = n.rollouts.Told()
 	if index, at := n.catalog.Index(); index != nil {
@@ -85,7 +85,7 @@
 		n.balancer.HeardSpeeds(status.Speeds)
 		n.quota.Heard(status)
 	}
-	n.limits.Heard(status.Limits)
+	n.words.Heard(status.Words)
 	n.rollouts.Heard(status.Rollouts, status.OrdersAsOf, string(status.From.ID))
 	n.crashes.Heard(status.Crashes, status.From.DataCentre != n.Settings.DataCentre)
 	n.crashKeeper.Heard(status.From, status.CrashesHash)
--- a/node/node.go
+++ b/node/node.go
@@ -89,8 +89,8 @@
 	catalog  *catalog.Catalog
 	balancer *balance.Balancer
 	places   *places.Client
-	// limits is what targets have announced of the requests that they take.
-	limits      *announced.Record
+	// words is what targets have said of themselves.
+	words       *announced.Record
 	gossip      *gossip.Node
 	relay       *relay.Relay
 	quota       *quota.Ledger
@@ -198,7 +198,7 @@
 	}
 	targets := n.catalog.Usable()
 	n.rollouts.Targets(targets.Targets, targets.Version)
-	n.limits.Targets(targets.Targets)
+	n.words.Targets(targets.Targets)
 	n.balancer.SetTargets(index.Bundle.Pools, targets.Targets)
 	if !n.gossip.Local(from) {
 		n.gossip.Kick()
--- a/node/places.go
+++ b/node/places.go
@@ -23,7 +23,7 @@
 		Candidates: n.gossip.Members, Substitutes: n.gossip.Substitutes,
 		Send: n.gossip.SendOther,
 	}
-	n.places.HeardLimit = func(told shelfshelf.TargetLimit) { n.limits.Heard([]shelfshelf.TargetLimit{told}) }
+	n.places.Heard = func(told shelfshelf.TargetWord) { n.words.Heard([]shelfshelf.TargetWord{told}) }
 	n.places.Book = &places.Book{Clock: n.Clock, Capacity: n.capacity, Pace: n.pacing, Grant: n.places.Grant}
 	n.gossip.Other = n.places.Receive
 	n.gossip.OtherMarker = places.Marker
@@ -45,7 +45,7 @@
 // its owner gives any; and as much of the limit as it hears of its data centre, so that the
 // parts of one that is cut, each with an owner, don't give more together.
 func (n *Node) pacing(key shelfshelf.TargetKey) (perSecond float64, limited bool) {
-	told := n.limits.Limit(key)
+	told := n.words.Said(key)
 	if !told.Limit.Named {
 		return 0, false
 	}
@@ -56,10 +56,17 @@
 	return max(told.Limit.PerSecond*n.gossip.HeardShare(), leastPace), true
 }
 
-// limitChanged hands a change of a target's limit to the balancer, and tells the others at
-// once of what was read here.
-func (n *Node) limitChanged(target shelfshelf.TargetKey, tell bool) {
-	n.balancer.LimitChanged(target)
+// target returns a listed target as it stands, by its entry and by what it has said itself.
+func (n *Node) target(name shelfshelf.TargetName) (shelfshelf.Target, bool) {
+	target, listed := n.catalog.Target(name)
+	target.Leaving = target.Leaving || n.words.Said(shelfshelf.KeyOfTarget(name)).Leaving
+	return target, listed
+}
+
+// wordChanged hands what a target has newly said to the balancer, and tells the others at once
+// of what was read here.
+func (n *Node) wordChanged(target shelfshelf.TargetKey, tell bool) {
+	n.balancer.WordChanged(target)
 	if tell {
 		n.gossip.Kick()
 	}
--- a/places.go
+++ b/places.go
@@ -41,9 +41,9 @@
 	Stay time.Duration
 	// Wait is how long the ask stands in line.
 	Wait time.Duration
-	// Limit is what the asker knows of the target's limit: its owner, and no other instance,
+	// Said is what the asker knows that the target has said: its owner, and no other instance,
 	// gives the places of a target with a limit, which it may not have heard of yet.
-	Limit TargetLimit
+	Said TargetWord
 }
 
 const (
--- a/places/client.go
+++ b/places/client.go
@@ -38,8 +38,8 @@
 	// Substitutes returns the instances that own the targets with limits of a data centre where
 	// no instance runs; nil means that there are none.
 	Substitutes func(shelfshelf.DataCentre) []shelfshelf.Member
-	// HeardLimit takes what the sender of an ask knows of its target's limit.
-	HeardLimit func(shelfshelf.TargetLimit)
+	// Heard takes what the sender of an ask knows that its target has said.
+	Heard func(shelfshelf.TargetWord)
 	// Send sends a datagram; what is lost is mended by the next sync.
 	Send func(to netip.AddrPort, content []byte)
 
@@ -236,8 +236,8 @@
 	holder := Holder{Address: from, Incarnation: m.incarnation}
 	switch m.kind {
 	case kindAsk:
-		if m.ask.Limit.Version > 0 {
-			c.HeardLimit(m.ask.Limit)
+		if m.ask.Said.Version > 0 {
+			c.Heard(m.ask.Said)
 		}
 		c.reply(holder, c.Book.Ask(holder, m.id, m.ask))
 	case kindGive:
--- a/places/owner.go
+++ b/places/owner.go
@@ -23,7 +23,7 @@
 // that answer. Where the target has a limit only its owner is asked, however silent it is: the
 // next one would give out as many sends again.
 func (c *Client) ownerFor(ask shelfshelf.PlaceAsk) (netip.AddrPort, bool) {
-	if ask.Limit.Limit.Named {
+	if ask.Said.Limit.Named {
 		return c.trueOwner(ask.Target, ask.DataCentre)
 	}
 	return c.owner(ask.Target, ask.DataCentre)
--- a/places/wire.go
+++ b/places/wire.go
@@ -63,9 +63,9 @@
 		Requests    int
 		RestMillis  int64
 		Held        []wirePlace
-		// Limits holds what the sender of an ask knows of its target's limit. Nearly all messages
+		// Said holds what the sender of an ask knows that its target has said. Nearly all messages
 		// have none, which takes one byte of some 40.
-		Limits []announced.Wire
+		Said []announced.Wire
 	}
 	wirePlace struct {
 		_      struct{} `cbor:",toarray"`
@@ -89,8 +89,8 @@
 		Requests:    m.requests,
 		RestMillis:  ceilMillis(m.rest),
 	}
-	if m.ask.Limit.Version > 0 {
-		wire.Limits = announced.ToWire([]shelfshelf.TargetLimit{m.ask.Limit})
+	if m.ask.Said.Version > 0 {
+		wire.Said = announced.ToWire([]shelfshelf.TargetWord{m.ask.Said})
 	}
 	for id, target := range m.held {
 		wire.Held = append(wire.Held, wirePlace{ID: uint64(id), Target: uint32(target)})
@@ -126,9 +126,9 @@
 		requests: wire.Requests,
 		rest:     time.Duration(wire.RestMillis) * time.Millisecond,
 	}
-	for _, told := range announced.FromWire(wire.Limits) {
+	for _, told := range announced.FromWire(wire.Said) {
 		if told.Target == m.ask.Target {
-			m.ask.Limit = told
+			m.ask.Said = told
 		}
 	}
 	if len(wire.Held) > 0 {
--- a/places/wire_test.go
+++ b/places/wire_test.go
@@ -32,8 +32,8 @@
 			}), rapid.Just(shelfshelf.TargetKey(3)), 1, 9).Draw(t, "list"),
 		}
 		if version := rapid.Uint64().Draw(t, "limit"); version > 0 {
-			sent.ask.Limit = shelfshelf.TargetLimit{
-				Target: sent.ask.Target, Version: version,
+			sent.ask.Said = shelfshelf.TargetWord{
+				Target: sent.ask.Target, Version: version, Leaving: rapid.Bool().Draw(t, "leaving"),
 				Limit: shelfshelf.RateLimit{Named: rapid.Bool().Draw(t, "named"), PerSecond: rapid.Float64Range(0, 1e6).Draw(t, "a second")},
 			}
 		}
--- a/status.go
+++ b/status.go
@@ -40,9 +40,9 @@
 	// the same for all who know the same of them.
 	Crashes     []Crash
 	CrashesHash uint64
-	// Limits are what targets have announced of the requests that they take, as far as the
-	// sender knows; of many, each status tells a part.
-	Limits []TargetLimit
+	// Words are what targets have said of themselves, as far as the sender knows; of many,
+	// each status tells a part.
+	Words []TargetWord
 	// Rollouts are the orders to move pools that the sender knows, all that had been given
 	// when the store stood at OrdersAsOf.
 	Rollouts   []Rollout
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -48,7 +48,7 @@
 type Request struct {
 	ID shelfshelf.RequestID
 	// To is the target that the request is meant for.
-	To     shelfshelf.TargetName
+	To     shelfshelf.Target
 	Method string
 	// Target is the path and query as the caller sent them.
 	Target string
@@ -84,7 +84,7 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Answered is told of the head of every answer that is read, with when its request was
 	// sent, also of late ones of other requests; nil means nobody.
-	Answered func(target shelfshelf.TargetName, answer shelfshelf.Answer, sent time.Time)
+	Answered func(target shelfshelf.Target, answer shelfshelf.Answer, sent time.Time)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -212,7 +212,7 @@
 		}
 		meaning := c.Codec.Answer(answer.StatusCode, answer.Header)
 		own := meaning.ID == request.ID
-		if c.Answered != nil && (own || meaning.Limit.Named) {
+		if c.Answered != nil && (own || meaning.Announces()) {
 			c.Answered(request.To, meaning, sent)
 		}
 		if own {
