A target that turns a request away and asks for rest gets it from the whole instance

What callers saw: requests that were turned away by one target after the other, and refused after three. A target that had asked an instance for some seconds of rest went on getting requests of it, 28 in one rest at most.

Cause: the word in a 503 was read by nobody. What a refusal taught was kept by the request that met it, which avoids the target; all others went there, since a target that runs nothing looks best. Ruled out as the whole cause: requests that stand in an owner's line (plain targets have none and showed the same); their turns now go to another target.

Change: the record of what targets say keeps until when one wants nothing of this instance: the last end counts, a shorter rest, a good answer or a lapsed entry end nothing, a new life does. No target is chosen, taken or granted before. Where all that a request may go to rest for longer than it can wait, it is refused at once and told to come back within a goal after the first has had its rest, 30 s at most. Rests are not told to others, who may send there.

A turn that comes at a target that rests or leaves is tried elsewhere (owned.go).

--- a/announced.go
+++ b/announced.go
@@ -32,6 +32,9 @@
 	Version uint64
 	// Leaving says that the target is about to stop; it never takes that back within a life.
 	Leaving bool
+	// RestUntil is when the rest ends that the target has asked this instance for, which is no
+	// word to others; it never ends sooner.
+	RestUntil time.Time
 }
 
 // Announcements is what targets have said of themselves, at whichever instance. It is safe
--- a/announced/change.go
+++ b/announced/change.go
@@ -10,10 +10,13 @@
 type change struct {
 	target shelfshelf.TargetName
 	word   shelfshelf.TargetWord
-	// limit and leaving say what has changed, and logged that the limit's line is due.
-	limit   bool
-	leaving bool
-	logged  bool
+	// limit, leaving and rest say what has changed, logged that the limit's line is due, and
+	// restLogged that the rest's is.
+	limit      bool
+	leaving    bool
+	rest       bool
+	logged     bool
+	restLogged bool
 }
 
 // changed compares a word with what it was; the lock is held.
@@ -21,6 +24,7 @@
 	c := change{
 		target: r.listed[w.Target].Name, word: w.TargetWord,
 		limit: before.Limit != w.Limit, leaving: before.Leaving != w.Leaving,
+		rest: !before.RestUntil.Equal(w.RestUntil),
 	}
 	if before.Version != w.Version || c.limit || c.leaving {
 		w.changedAt = now
@@ -29,12 +33,16 @@
 	if c.logged {
 		w.loggedAt = now
 	}
+	c.restLogged = c.rest && now.Sub(w.restLoggedAt) >= logPause
+	if c.restLogged {
+		w.restLoggedAt = now
+	}
 	return c
 }
 
 // report tells of a change, outside the lock.
 func (r *Record) report(c change, own bool) {
-	if !c.limit && !c.leaving {
+	if !c.limit && !c.leaving && !c.rest {
 		return
 	}
 	if c.logged {
@@ -45,5 +53,8 @@
 		r.Log.Info("A target's word of leaving has changed.", "target", c.target, "leaving", c.word.Leaving,
 			"born", c.word.Born, "own", own)
 	}
+	if c.restLogged {
+		r.Log.Info("A target wants rest.", "target", c.target, "left", c.word.RestUntil.Sub(r.Clock.Now()))
+	}
 	r.Changed(c.word.Target, own && (c.logged || c.leaving))
 }
--- a/announced/record.go
+++ b/announced/record.go
@@ -50,12 +50,14 @@
 // word is what a target has said in its latest life that is known.
 type word struct {
 	shelfshelf.TargetWord
-	// namedAt is when this instance last read or heard that there is a limit, and changedAt
-	// when it learnt of the latest change.
-	namedAt   time.Time
+	// knownAt is when this instance learnt of the life, changedAt when of the latest change
+	// that others have to hear of, and namedAt when it last read or heard that there is a limit.
+	knownAt   time.Time
 	changedAt time.Time
-	// loggedAt is when the log had a line on its limit.
-	loggedAt time.Time
+	namedAt   time.Time
+	// loggedAt is when the log had a line on its limit, and restLoggedAt on its rest.
+	loggedAt     time.Time
+	restLoggedAt time.Time
 	// listedAt is when the target was last known to be listed.
 	listedAt time.Time
 }
@@ -66,6 +68,7 @@
 func (r *Record) Answered(target shelfshelf.Target, answer shelfshelf.Answer, sent time.Time) {
 	r.reportUnread(target.Name, "limit", answer.LimitUnread)
 	r.reportUnread(target.Name, "leaving", answer.LeavingUnread)
+	r.reportUnread(target.Name, "rest", answer.RestUnread)
 	unsaid := !answer.Announces() && r.known.Load() == 0
 	if unsaid || answer.OtherTarget {
 		return
@@ -111,6 +114,9 @@
 		told.Version++
 		told.Limit = answer.Limit
 	}
+	if answer.Rest > 0 {
+		told.RestUntil = now.Add(answer.Rest)
+	}
 	return r.take(told, now)
 }
 
@@ -165,7 +171,9 @@
 	}
 	before := w.TargetWord
 	if later(told.Born, w.Born) {
+		news := w.changedAt
 		*w = *newWord(told, now)
+		w.changedAt = news
 	}
 	w.join(told, now)
 	return r.changed(before, w, now)
@@ -173,7 +181,7 @@
 
 // newWord returns the word of a life that has said nothing.
 func newWord(of shelfshelf.TargetWord, now time.Time) *word {
-	return &word{TargetWord: shelfshelf.TargetWord{Target: of.Target, Born: of.Born}, changedAt: now, listedAt: now}
+	return &word{TargetWord: shelfshelf.TargetWord{Target: of.Target, Born: of.Born}, knownAt: now, listedAt: now}
 }
 
 // keep adds a word; the lock is held.
@@ -196,6 +204,10 @@
 		w.Born = told.Born
 	}
 	w.Leaving = w.Leaving || told.Leaving
+	// A rest that another request is asked for meanwhile may be shorter.
+	if told.RestUntil.After(w.RestUntil) {
+		w.RestUntil = told.RestUntil
+	}
 	if newer(told, w) {
 		w.Limit, w.Version = told.Limit, told.Version
 		if told.Limit.Named {
@@ -250,15 +262,25 @@
 // the lock is held.
 func (r *Record) forget(now time.Time) {
 	for key, w := range r.words {
-		_, listed := r.listed[key]
-		kept := w.Leaving && (listed || now.Sub(w.listedAt) <= leavingKept) || w.Limit.Named && listed
-		if !kept && now.Sub(w.changedAt) > endKept {
+		if !r.kept(w, now) {
 			delete(r.words, key)
 		}
 	}
 	r.known.Store(int64(len(r.words)))
 }
 
+// kept reports that a word still matters, or that older ones may be on their way; the lock is held.
+func (r *Record) kept(w *word, now time.Time) bool {
+	_, listed := r.listed[w.Target]
+	switch {
+	case now.Sub(w.knownAt) <= endKept, now.Sub(w.changedAt) <= endKept, now.Before(w.RestUntil):
+		return true
+	case w.Leaving:
+		return listed || now.Sub(w.listedAt) <= leavingKept
+	}
+	return w.Limit.Named && listed
+}
+
 // Said returns what a target has said.
 func (r *Record) Said(target shelfshelf.TargetKey) shelfshelf.TargetWord {
 	if r.known.Load() == 0 {
@@ -282,6 +304,15 @@
 	return r.count(r.leavesUnlisted)
 }
 
+// Resting returns how many listed targets have asked this instance for a rest that goes on.
+func (r *Record) Resting() int {
+	now := r.Clock.Now()
+	return r.count(func(w *word) bool {
+		_, listed := r.listed[w.Target]
+		return listed && now.Before(w.RestUntil)
+	})
+}
+
 // leavesUnlisted reports that a listed target leaves though its entry doesn't say so; the lock is
 // held.
 func (r *Record) leavesUnlisted(w *word) bool {
--- a/announced/record_test.go
+++ b/announced/record_test.go
@@ -32,6 +32,15 @@
 	}
 }
 
+// said returns what a record says of the target, with the life that has said it, if it said anything.
+func said(r *announced.Record) shelfshelf.TargetWord {
+	word := r.Said(key)
+	if word.Version == 0 && !word.Leaving {
+		word.Born = time.Time{}
+	}
+	return word
+}
+
 // perSecond returns a target's limit as a record knows it; -1 if there is none.
 func perSecond(r *announced.Record) float64 {
 	told := r.Said(key)
@@ -151,11 +160,37 @@
 	}
 }
 
+// A rest is no word to other instances, outlives the target's entry and ends with its life; of
+// several the one that ends last counts.
+func TestRestIsAskedOfOneInstance(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRecord(clock)
+	first := shelfshelf.Target{Name: name, Born: time.Unix(1, 0)}
+	r.Targets([]shelfshelf.Target{first})
+	began := clock.Now()
+	for _, rest := range []time.Duration{3 * time.Second, time.Second, 10 * time.Minute, 0} {
+		r.Answered(first, shelfshelf.Answer{Rest: rest}, clock.Now())
+	}
+	if told := r.Told(); len(told) != 0 {
+		t.Errorf("%+v", told)
+	}
+	r.Targets(nil)
+	clock.Advance(9 * time.Minute)
+	r.Targets([]shelfshelf.Target{first})
+	if got := r.Said(key).RestUntil.Sub(began); got != 10*time.Minute || r.Resting() != 1 {
+		t.Errorf("it rests for %v, %d rest", got, r.Resting())
+	}
+	r.Targets([]shelfshelf.Target{{Name: name, Born: time.Unix(2, 0)}})
+	if !r.Said(key).RestUntil.IsZero() || r.Resting() != 0 {
+		t.Errorf("in its second life: %+v", r.Said(key))
+	}
+}
+
 // A word that leaves nothing to read changes nothing.
 func TestUnreadWordsChangeNothing(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	r := newRecord(clock)
-	r.Answered(target, shelfshelf.Answer{LeavingUnread: "soon", LimitUnread: "few"}, clock.Now())
+	r.Answered(target, shelfshelf.Answer{LeavingUnread: "soon", LimitUnread: "few", RestUnread: "a while"}, clock.Now())
 	r.Answered(target, shelfshelf.Answer{Leaving: true, OtherTarget: true}, clock.Now())
 	if said := r.Said(key); said != (shelfshelf.TargetWord{Target: key}) {
 		t.Errorf("%+v", said)
@@ -172,11 +207,16 @@
 func TestInstancesAgreeOnWords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		lives := rapid.Bool().Draw(t, "lives are told")
+		var newest time.Time
 		born := func(t *rapid.T) time.Time {
 			if !lives {
 				return time.Time{}
 			}
-			return time.Unix(rapid.Int64Range(1, 3).Draw(t, "born"), 0)
+			at := time.Unix(rapid.Int64Range(1, 3).Draw(t, "born"), 0)
+			if at.After(newest) {
+				newest = at
+			}
+			return at
 		}
 		var left [4]shelfshelf.TargetWord
 		clock := clockwork.NewFakeClock()
@@ -221,6 +261,10 @@
 				}
 			},
 		})
+		// All come to read the same list.
+		for _, r := range records {
+			r.Targets([]shelfshelf.Target{{Name: name, Born: newest}})
+		}
 		for range 2 {
 			for _, from := range records {
 				for _, to := range records {
@@ -229,7 +273,7 @@
 			}
 		}
 		for _, r := range records[1:] {
-			if diff := cmp.Diff(records[0].Said(key), r.Said(key)); diff != "" {
+			if diff := cmp.Diff(said(records[0]), said(r)); diff != "" {
 				t.Fatal(diff)
 			}
 		}
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -183,6 +183,9 @@
 		old := need.choice.Old()
 		need.choice = &old
 	}
+	if refusal := b.refuseForRest(need); refusal != nil {
+		return nil, refusal
+	}
 	if b.owned(need.Pool) {
 		if b.tooMany(need) {
 			return nil, &Refusal{Reason: shelfshelf.RefusedOrder, RetryAfter: retryAfter(need)}
@@ -224,7 +227,7 @@
 	}
 	if !now.Before(need.WaitUntil) {
 		b.mu.Unlock()
-		return nil, &Refusal{Reason: shelfshelf.RefusedShed, RetryAfter: retryAfter(need)}
+		return nil, &Refusal{Reason: shelfshelf.RefusedShed, RetryAfter: b.comeBack(need)}
 	}
 	w := &waiter{need: need, lease: make(chan *Lease, 1)}
 	p.insert(w)
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -81,9 +81,21 @@
 	return lease
 }
 
-// open reports that a target may get this request at all.
+// open reports that a target may get this request at all: a rest that it has asked for binds
+// all requests of this instance, not the one that was turned away.
 func (t *targetState) open(need Need, now time.Time) bool {
-	return t.fits(need) && !now.Before(t.restUntil) && !now.Before(t.pacedUntil)
+	return t.fits(need) && !now.Before(t.openAt())
+}
+
+// openAt returns when the target takes requests again, as far as is known.
+func (t *targetState) openAt() time.Time {
+	at := t.restUntil
+	for _, other := range []time.Time{t.pacedUntil, t.said.RestUntil} {
+		if other.After(at) {
+			at = other
+		}
+	}
+	return at
 }
 
 // fits reports that a target may ever get this request.
--- a/balance/limited.go
+++ b/balance/limited.go
@@ -28,13 +28,16 @@
 	if t == nil {
 		return
 	}
+	before := t.said
 	b.recallWord(t)
 	p := b.pools[t.target.Pool]
 	if p == nil {
 		return
 	}
-	p.relist(t)
-	if !t.limited() {
+	if t.said.Leaving && !before.Leaving {
+		p.relist(t)
+	}
+	if before.Limit.Named && !t.limited() {
 		b.pump(p, b.Clock.Now())
 	}
 }
@@ -103,11 +106,11 @@
 // retryAfter is when a refused caller may come back: not before a target with a limit has room
 // again where the request may go to no other.
 func (a *asking) retryAfter() time.Duration {
-	after := retryAfter(a.need)
+	after := a.balancer.comeBack(a.need)
 	if !a.onlyLimited() {
 		return after
 	}
-	return min(max(after, a.untilRoom()), longestRetryAfter)
+	return max(after, min(a.untilRoom(), longestRetryAfter))
 }
 
 // limits reports whether some, and whether all, of the targets that the request may go to have
@@ -168,11 +171,7 @@
 
 // chooseLimited returns the best target with a limit that the request does not wait for yet.
 func (a *asking) chooseLimited() *targetState {
-	best := a.chooseFrom(func(t *targetState, _ time.Time) bool { return t.limited() && !a.waitsAt(t) })
-	if best != nil {
-		a.tried = append(a.tried, best)
-	}
-	return best
+	return a.try(func(t *targetState) bool { return t.limited() && !a.waitsAt(t) })
 }
 
 func (a *asking) waitsAt(t *targetState) bool {
@@ -219,10 +218,7 @@
 		if !t.limited() || !t.fits(a.need) || a.waitsAt(t) {
 			continue
 		}
-		at := t.pacedUntil
-		if t.restUntil.After(at) {
-			at = t.restUntil
-		}
+		at := t.openAt()
 		if soonest.IsZero() || at.Before(soonest) {
 			soonest = at
 		}
--- a/balance/line.go
+++ b/balance/line.go
@@ -37,7 +37,7 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	return nil, &Refusal{Reason: shelfshelf.RefusedShed, RetryAfter: retryAfter(w.need)}
+	return nil, &Refusal{Reason: shelfshelf.RefusedShed, RetryAfter: b.comeBack(w.need)}
 }
 
 func (b *Balancer) leaveLine(w *waiter) {
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -81,7 +81,17 @@
 
 // choose returns the best engine that was not tried yet, free or not.
 func (a *asking) choose() *targetState {
-	best := a.chooseFrom(func(t *targetState, _ time.Time) bool { return !slices.Contains(a.tried, t) })
+	return a.try(func(t *targetState) bool { return !slices.Contains(a.tried, t) })
+}
+
+// chooseOther returns the best engine in whose line the request doesn't stand, tried or not.
+func (a *asking) chooseOther() *targetState {
+	return a.try(func(t *targetState) bool { return !a.waitsAt(t) })
+}
+
+// try returns the best target that is open and fits, and notes that it is tried.
+func (a *asking) try(fits func(t *targetState) bool) *targetState {
+	best := a.chooseFrom(func(t *targetState, _ time.Time) bool { return fits(t) })
 	if best != nil {
 		a.tried = append(a.tried, best)
 	}
@@ -204,6 +214,10 @@
 			if lease := a.take(t, id); lease != nil {
 				return lease, nil
 			}
+			// The target leaves or rests since the request stands in its line: others may not.
+			if lease := a.askWhile(ctx, a.chooseOther); lease != nil {
+				return lease, nil
+			}
 		case <-a.again():
 			if lease := a.askWhile(ctx, a.chooseLimited); lease != nil {
 				return lease, nil
--- a/call.go
+++ b/call.go
@@ -82,7 +82,7 @@
 
 // Announces reports that a target says something with its answer that concerns the requests
 // after it too.
-func (a Answer) Announces() bool { return a.Limit.Named || a.Leaving }
+func (a Answer) Announces() bool { return a.Limit.Named || a.Leaving || a.Rest > 0 }
 
 // CallCodec reads and writes the headers of calls and answers.
 type CallCodec interface {
--- a/node/build.go
+++ b/node/build.go
@@ -94,6 +94,7 @@
 	}
 	n.metrics.Gauge("shelf_targets_limited", func() float64 { return float64(n.words.Limited()) })
 	n.metrics.Gauge("shelf_targets_leaving", func() float64 { return float64(n.words.Leaving()) })
+	n.metrics.Gauge("shelf_targets_resting", func() float64 { return float64(n.words.Resting()) })
 	n.metrics.Gauge("shelf_requests_held_back", func() float64 { return float64(n.crashes.HeldBack()) })
 }
 
--- a/request.go
+++ b/request.go
@@ -59,6 +59,8 @@
 	// RefusedOrder means that a higher tier is refused too often for this one to look for
 	// a place.
 	RefusedOrder
+	// RefusedRest means that all targets want rest for longer than the request can wait.
+	RefusedRest
 )
 
 // String returns the reason as logs, metrics and callers see it.
@@ -76,6 +78,8 @@
 		return "stopping"
 	case RefusedOrder:
 		return "shed before a higher tier"
+	case RefusedRest:
+		return "all want rest"
 	}
 	return "unspecified"
 }
