--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -103,6 +103,39 @@
 	})
 }
 
+// A target that has said that it leaves and ends with requests under way has not ended under one
+// of them: nobody is held back for it.
+func TestEndsOfTargetsThatLeaveAreNoCrashes(t *testing.T) {
+	playLarge(t, 6, false, func(l *large) {
+		p := newLimited(l, 8)
+		for _, name := range []string{"e0", "e1", "e2"} {
+			p.targets[name].SetFaults(fake.ServerFaults{Slow: 300 * time.Millisecond})
+		}
+		p.load(time.Second)
+		p.leave("e0", "e1", "e2")
+		ended := make(chan struct{})
+		p.ended.Go(func() {
+			defer close(ended)
+			// The first answer that says so comes after 300 ms; requests run for 1.5 s.
+			time.Sleep(600 * time.Millisecond)
+			for _, name := range []string{"e0", "e1", "e2"} {
+				time.Sleep(100 * time.Millisecond)
+				p.ends[name]()
+			}
+		})
+		p.load(2 * time.Second)
+		<-ended
+		time.Sleep(2 * time.Second)
+		if left := p.log.Lines("A target that was leaving has ended under requests"); len(left) == 0 {
+			t.Error("no target ended under requests")
+		}
+		if crashed := p.log.Lines("A target has ended under requests"); len(crashed) > 0 {
+			t.Errorf("%d ends of targets that leave count against requests: %s", len(crashed), crashed[0])
+		}
+		p.check()
+	})
+}
+
 // leave has targets say in their answers that they leave.
 func (p *limited) leave(names ...string) {
 	for _, name := range names {
--- a/node/limited_test.go
+++ b/node/limited_test.go
@@ -38,6 +38,8 @@
 type limited struct {
 	*large
 	targets map[string]*fake.Server
+	// ends end the targets' processes.
+	ends map[string]func()
 	// addresses and centres are where the targets are.
 	addresses map[string]string
 	centres   map[string]string
@@ -63,7 +65,7 @@
 	p := &limited{
 		large: l, targets: make(map[string]*fake.Server), limits: make(map[string]float64),
 		namedAt: make(map[string]time.Time), answers: make(map[string]int), away: make(map[int]bool),
-		addresses: make(map[string]string), centres: make(map[string]string),
+		ends: make(map[string]func()), addresses: make(map[string]string), centres: make(map[string]string),
 	}
 	l.put("op", "config", object{
 		"Version": 2, "Routes": []object{
@@ -87,7 +89,8 @@
 	server := &fake.Server{ID: name, Events: events}
 	server.SetFaults(fake.ServerFaults{Slow: 10 * time.Millisecond})
 	process := &http.Server{Handler: server}
-	p.closers = append(p.closers, func() { _ = process.Close() })
+	p.ends[name] = func() { _ = process.Close() }
+	p.closers = append(p.closers, p.ends[name])
 	listener := p.network.Listen(ip, "80")
 	p.ended.Go(func() { _ = process.Serve(listener) })
 	p.targets[name] = server
