A gate gives its send when the time is over that it told

Cause: the gate's sum of fractions is 0.9999999999 where 1 is due. Now a send is whole from 1 - 1e-9 on.

--- a/announced/gate.go
+++ b/announced/gate.go
@@ -14,6 +14,9 @@
 	closedPause = 250 * time.Millisecond
 )
 
+// wholeSend is what counts as a send: sums of fractions fall short of one.
+const wholeSend = 1 - 1e-9
+
 // Gate gives out sends at a rate. It begins empty: who has just begun to keep it doesn't know
 // what others have sent, and each new owner of a target would otherwise give one more.
 type Gate struct {
@@ -45,7 +48,7 @@
 	switch {
 	case g.rate <= 0:
 		return closedPause
-	case g.sends >= 1:
+	case g.sends >= wholeSend:
 		return 0
 	}
 	// Rounded up, so that there is one when the time is over.
--- a/announced/gate_test.go
+++ b/announced/gate_test.go
@@ -45,30 +45,37 @@
 // Who waits for as long as it is told finds a send, and a gate that has just begun, or was
 // closed, keeps none.
 func TestGatesTellWhenTheyOpen(t *testing.T) {
+	// After 67 ms at this rate a gate's sum of fractions was less than one.
+	checkOpening(t, 15)
 	rapid.Check(t, func(t *rapid.T) {
-		rate := rapid.Float64Range(0.05, 500).Draw(t, "rate")
-		now := time.Unix(100, 0)
-		gate := NewGate(now)
-		gate.SetRate(rate, now)
-		for range 20 {
-			left := gate.Left(now)
-			if left <= 0 {
-				t.Fatal("there is a send before its time")
-			}
-			now = now.Add(left)
-			if left := gate.Left(now); left != 0 {
-				t.Fatalf("%v is left after the time told", left)
-			}
-			gate.Take()
-		}
-		now = now.Add(time.Minute)
-		gate.SetRate(0, now)
-		if gate.Left(now) != closedPause {
-			t.Fatal("a closed gate gives")
+		checkOpening(t, rapid.Float64Range(0.05, 500).Draw(t, "rate"))
+	})
+}
+
+// checkOpening checks twenty sends of a gate, each asked for when the time told is over.
+func checkOpening(t rapid.TB, rate float64) {
+	t.Helper()
+	now := time.Unix(100, 0)
+	gate := NewGate(now)
+	gate.SetRate(rate, now)
+	for range 20 {
+		left := gate.Left(now)
+		if left <= 0 {
+			t.Fatal("there is a send before its time")
 		}
-		gate.SetRate(rate, now)
-		if gate.Left(now) == 0 {
-			t.Fatal("a gate that was closed has kept a send")
+		now = now.Add(left)
+		if left := gate.Left(now); left != 0 {
+			t.Fatalf("%v is left after the time told", left)
 		}
-	})
+		gate.Take()
+	}
+	now = now.Add(time.Minute)
+	gate.SetRate(0, now)
+	if gate.Left(now) != closedPause {
+		t.Fatal("a closed gate gives")
+	}
+	gate.SetRate(rate, now)
+	if gate.Left(now) == 0 {
+		t.Fatal("a gate that was closed has kept a send")
+	}
 }
