--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -16,6 +16,7 @@
 // call is one request with what its caller saw.
 type call struct {
 	id     string
+	node   *process
 	path   string
 	key    string
 	sent   time.Time
@@ -23,7 +24,10 @@
 	body   string
 	err    error
 	signed string
-	ended  time.Time
+	// leaving says that the answer told that its target leaves, and toldAt when it came.
+	leaving bool
+	toldAt  time.Time
+	ended   time.Time
 	// calm says that neither its instance nor the store was disturbed from some seconds
 	// before it to its end.
 	calm bool
@@ -48,7 +52,7 @@
 	paths := []string{"/once/", "/many/", "/s/"}
 	for ctx.Err() == nil {
 		number := c.next.Add(1)
-		one := call{id: fmt.Sprint("r", number), path: paths[number%3], sent: time.Now()}
+		one := call{id: fmt.Sprint("r", number), node: node, path: paths[number%3], sent: time.Now()}
 		one.key = c.key(number)
 		before := c.calm(node)
 		c.send(transport, node, &one)
@@ -107,6 +111,7 @@
 	defer func() { _ = response.Body.Close() }()
 	one.status = response.StatusCode
 	one.signed = response.Header.Get("X-Shelfshelf-Response-Signature")
+	one.leaving, one.toldAt = response.Header.Get("Server-Leaving") != "", time.Now()
 	body, err := io.ReadAll(response.Body)
 	one.body, one.err, one.ended = string(body), err, time.Now()
 }
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -16,7 +16,9 @@
 
 	mu    sync.Mutex
 	trait trait
-	open  map[net.Conn]bool
+	// touched is when a fault came or ended.
+	touched []time.Time
+	open    map[net.Conn]bool
 	// silent are the open connections that carry nothing any more.
 	silent map[net.Conn]bool
 }
@@ -54,12 +56,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.trait = t
+	l.touched = append(l.touched, time.Now())
+}
+
+// touchedIn reports that a fault came or ended between two instants.
+func (l *link) touchedIn(from, to time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return anyIn(l.touched, from, to)
 }
 
 // silence makes all open connections silent for good, without a reset; new ones work.
 func (l *link) silence() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.touched = append(l.touched, time.Now())
 	for conn := range l.open {
 		l.silent[conn] = true
 	}
@@ -81,6 +92,7 @@
 func (l *link) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.touched = append(l.touched, time.Now())
 	for conn := range l.open {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -72,6 +72,8 @@
 	plain mode = iota
 	// withLimits has some targets name limits.
 	withLimits
+	// withWords has some targets say that they leave, or ask for rest.
+	withWords
 	// withReturns has the store come back from older copies.
 	withReturns
 )
@@ -84,6 +86,10 @@
 	if beside == withLimits {
 		named = s.nameLimits(seed)
 	}
+	var said *words
+	if beside == withWords {
+		said = s.speak(seed)
+	}
 	plan := &schedule{stage: s, seed: seed}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -115,6 +121,9 @@
 	} else {
 		plan.run(*length)
 	}
+	if said != nil {
+		said.endRests()
+	}
 	waitReady(t, s)
 	time.Sleep(recoverWithin)
 	calm := time.Now()
@@ -128,6 +137,9 @@
 	}
 	c.check(t, calm)
 	named.check(t)
+	if said != nil {
+		said.check(t, c)
+	}
 }
 
 // logEnds prints the last lines of each process's log: a run that keeps no folder, such as
--- a/test/soak/stage_test.go
+++ b/test/soak/stage_test.go
@@ -68,6 +68,8 @@
 	command *exec.Cmd
 	// disturbed is until when the fault that last touched it may last.
 	disturbed time.Time
+	// stopped is when it was sent a signal that ends it, or has it stand still or go on.
+	stopped []time.Time
 }
 
 // target is a stand-in of a target behind a link.
@@ -237,6 +239,9 @@
 	p.disturb()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if signal != syscall.SIGHUP {
+		p.stopped = append(p.stopped, time.Now())
+	}
 	// One that has ended already needs no signal.
 	_ = p.command.Process.Signal(signal)
 }
