--- a/announced/record.go
+++ b/announced/record.go
@@ -10,20 +10,9 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
-const (
-	// endKept is how long the end of a limit is remembered, so that older words of it that
-	// are still on their way don't bring it back.
-	endKept = time.Minute
-	// leavingKept is how long it is remembered of a target that isn't listed that it leaves:
-	// an entry that has lapsed while the store was away comes back as it was.
-	leavingKept = time.Hour
-	// logPause is the least time between two lines, and between two statuses out of turn,
-	// on one target.
-	logPause = time.Second
-	// sameShare is by how much a limit may differ from the one known and still count as the
-	// same: a figure that differs a little in each answer is no news.
-	sameShare = 0.05
-)
+// logPause is the least time between two lines, and between two statuses out of turn, on one
+// target.
+const logPause = time.Second
 
 // Record is what targets have said of themselves. Fields are set before use. It is safe for
 // concurrent use.
@@ -110,7 +99,7 @@
 	if w != nil && !later(target.Born, w.Born) {
 		told.Version, told.Limit = w.Version, w.Limit
 	}
-	if answer.LimitUnread == "" && r.newLimit(w, told, answer.Limit, sent, now) {
+	if answer.LimitUnread == "" && newLimit(w, told, answer.Limit, sent, now) {
 		told.Version++
 		told.Limit = answer.Limit
 	}
@@ -120,28 +109,6 @@
 	return r.take(told, now)
 }
 
-// newLimit reports that an answer changes the limit that is known of its target's life; the lock is
-// held.
-func (r *Record) newLimit(w *word, known shelfshelf.TargetWord, limit shelfshelf.RateLimit, sent, now time.Time) bool {
-	switch {
-	case limit.Named && same(known.Limit, limit):
-		w.namedAt = now
-		return false
-	case limit.Named:
-		return true
-	}
-	return known.Limit.Named && sent.After(w.namedAt)
-}
-
-// same reports that two limits are as good as equal.
-func same(known, limit shelfshelf.RateLimit) bool {
-	if !known.Named {
-		return false
-	}
-	least, most := known.PerSecond*(1-sameShare), known.PerSecond*(1+sameShare)
-	return limit.PerSecond >= least && limit.PerSecond <= most
-}
-
 // Heard takes what another instance knows.
 func (r *Record) Heard(words []shelfshelf.TargetWord) {
 	for _, told := range words {
@@ -216,71 +183,6 @@
 	}
 }
 
-// newer reports that a limit goes before the one known. Of two that were read at the same
-// moment the smaller one does.
-func newer(told shelfshelf.TargetWord, w *word) bool {
-	switch {
-	case told.Version != w.Version:
-		return told.Version > w.Version
-	case told.Limit.Named != w.Limit.Named:
-		return told.Limit.Named
-	}
-	return told.Limit.PerSecond < w.Limit.PerSecond
-}
-
-// Targets takes the list of targets: a new life of one has said nothing yet, and what is not
-// listed any more is forgotten once words of it no longer come.
-func (r *Record) Targets(targets []shelfshelf.Target) {
-	for _, c := range r.list(targets) {
-		r.report(c, false)
-	}
-}
-
-func (r *Record) list(targets []shelfshelf.Target) []change {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	for key, w := range r.words {
-		if _, listed := r.listed[key]; listed {
-			w.listedAt = now
-		}
-	}
-	r.listed = make(map[shelfshelf.TargetKey]shelfshelf.Target, len(targets))
-	var changes []change
-	for _, target := range targets {
-		key := shelfshelf.KeyOfTarget(target.Name)
-		r.listed[key] = target
-		if r.words[key] != nil {
-			changes = append(changes, r.take(shelfshelf.TargetWord{Target: key, Born: target.Born}, now))
-		}
-	}
-	r.forget(now)
-	return changes
-}
-
-// forget forgets limits that have been over for long, and what targets have said that are gone;
-// the lock is held.
-func (r *Record) forget(now time.Time) {
-	for key, w := range r.words {
-		if !r.kept(w, now) {
-			delete(r.words, key)
-		}
-	}
-	r.known.Store(int64(len(r.words)))
-}
-
-// kept reports that a word still matters, or that older ones may be on their way; the lock is held.
-func (r *Record) kept(w *word, now time.Time) bool {
-	_, listed := r.listed[w.Target]
-	switch {
-	case now.Sub(w.knownAt) <= endKept, now.Sub(w.changedAt) <= endKept, now.Before(w.RestUntil):
-		return true
-	case w.Leaving:
-		return listed || now.Sub(w.listedAt) <= leavingKept
-	}
-	return w.Limit.Named && listed
-}
-
 // Said returns what a target has said.
 func (r *Record) Said(target shelfshelf.TargetKey) shelfshelf.TargetWord {
 	if r.known.Load() == 0 {
@@ -293,41 +195,3 @@
 	}
 	return shelfshelf.TargetWord{Target: target}
 }
-
-// Limited returns how many targets have a limit.
-func (r *Record) Limited() int {
-	return r.count(func(w *word) bool { return w.Limit.Named })
-}
-
-// Leaving returns how many listed targets say that they leave, though their entries don't.
-func (r *Record) Leaving() int {
-	return r.count(r.leavesUnlisted)
-}
-
-// Resting returns how many listed targets have asked this instance for a rest that goes on.
-func (r *Record) Resting() int {
-	now := r.Clock.Now()
-	return r.count(func(w *word) bool {
-		_, listed := r.listed[w.Target]
-		return listed && now.Before(w.RestUntil)
-	})
-}
-
-// leavesUnlisted reports that a listed target leaves though its entry doesn't say so; the lock is
-// held.
-func (r *Record) leavesUnlisted(w *word) bool {
-	target, listed := r.listed[w.Target]
-	return w.Leaving && listed && !target.Leaving
-}
-
-func (r *Record) count(counted func(*word) bool) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	count := 0
-	for _, w := range r.words {
-		if counted(w) {
-			count++
-		}
-	}
-	return count
-}
--- a/announced/tell.go
+++ b/announced/tell.go
@@ -48,7 +48,7 @@
 func (r *Record) inTurn(now time.Time) []shelfshelf.TargetKey {
 	keys := make([]shelfshelf.TargetKey, 0, len(r.words))
 	for key, w := range r.words {
-		if w.Version > 0 || w.isNews(now) || r.leavesUnlisted(w) {
+		if w.Version > 0 || w.isNews(now) || r.leavesByAnswers(w) {
 			keys = append(keys, key)
 		}
 	}
