--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -72,6 +72,31 @@
 	})
 }
 
+// A store that comes back from a copy in which the targets were ready, twice and with a second away
+// each time, brings nothing back to those that leave by their answers, whether their entries said it
+// too or never came to, nor to those that rest.
+func TestWordsOutliveAnOlderStore(t *testing.T) {
+	playLarge(t, 24, false, func(l *large) {
+		p := newLimited(l, 8)
+		p.few, p.refusable = 8, true
+		older := l.platform.Rows.Copy()
+		p.leave("e0", "p0")
+		p.rest(0.4, "4", "e1", "e2", "e3", "p1", "p2", "p3")
+		p.load(2 * time.Second)
+		p.list("e0", "draining", 0)
+		for range 2 {
+			l.platform.SetFaults(fake.PlatformFaults{Reset: true})
+			p.load(time.Second)
+			l.platform.Rows.GoBack(older)
+			l.platform.SetFaults(fake.PlatformFaults{Delay: storeDelay})
+			p.load(2 * time.Second)
+		}
+		p.checkLeft("e0", "p0")
+		p.checkRests("e1", "e2", "e3", "p1", "p2", "p3")
+		p.checkOthersServed("e1", "e2", "e3", "p1", "p2", "p3")
+	})
+}
+
 // A target that starts again under its name has not said that it leaves, and is used again.
 func TestLeavingEndsWithALife(t *testing.T) {
 	playLarge(t, 24, false, func(l *large) {
