Words under way are heard also where an attempt's time is over, and hold nobody up

A target that gives a request up in its queue answers 503 at the deadline that it was told, which is the instant at which its instance gives the attempt up: that answer, with the rest it asks for, was never read. Found in reading; the subtest "the time is over" of TestWordsAreHeardWhoeverWaits fails without this (nothing heard).

The head of such an answer is now read beside, for 20 ms, on a goroutine of its own, whatever ended the attempt; Send returns at once, also where a caller has left (before, up to 20 ms later). Only where no byte of the answer had come. A target still learns within 20 ms that nobody waits.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -108,30 +108,49 @@
 	if err != nil {
 		return nil, eris.Wrap(shelfshelf.ErrNotRun, err.Error())
 	}
-	stop := context.AfterFunc(ctx, func() { c.hangUp(ctx, connection) })
+	stop := context.AfterFunc(ctx, func() {
+		// A deadline in the past ends reads and writes that wait.
+		_ = connection.SetDeadline(time.Unix(1, 0))
+	})
 	response, err := c.exchange(connection, request)
 	if err != nil {
 		stop()
-		_ = connection.Close()
-		if ctx.Err() != nil {
-			err = ctx.Err()
-		}
-		return nil, &brokenError{cause: err}
+		return nil, &brokenError{cause: c.giveUp(ctx, connection, request, err)}
 	}
 	response.target = address
 	response.stop = stop
 	return response, nil
 }
 
-// hangUp ends what waits on a connection. Where a caller has left, an answer that is under way
-// is still read: its target may say with it that it leaves or wants rest. Who ends an attempt
-// for another reason waits for its end.
-func (c *Client) hangUp(ctx context.Context, connection *conn) {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
-		<-c.Clock.After(underWay)
-	}
-	// A deadline in the past ends reads and writes that wait.
-	_ = connection.SetDeadline(time.Unix(1, 0))
+// giveUp ends an exchange without an answer, and returns why. Where nobody waits for the answer any
+// more, it is still read if it is under way: its target may say with it that it leaves or wants
+// rest.
+func (c *Client) giveUp(ctx context.Context, connection *conn, request Request, cause error) error {
+	if ctx.Err() == nil {
+		_ = connection.Close()
+		return cause
+	}
+	if connection.awaiting {
+		go c.runLate(connection, request)
+	} else {
+		_ = connection.Close()
+	}
+	return ctx.Err()
+}
+
+// runLate reads the head of an answer that nobody waits for, if it comes within a moment.
+func (c *Client) runLate(connection *conn, request Request) {
+	ending := time.AfterFunc(underWay, func() { _ = connection.Close() })
+	defer ending.Stop()
+	defer func() { _ = connection.Close() }()
+	if connection.SetDeadline(time.Time{}) != nil {
+		return
+	}
+	//nolint:bodyclose // the connection is closed as a whole.
+	answer, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
+	if err == nil {
+		c.meaning(connection, request, answer)
+	}
 }
 
 // Reach opens a connection to an address and keeps it for the next request; the error says
@@ -207,11 +226,14 @@
 	if err != nil {
 		return nil, err
 	}
-	sent := c.Clock.Now()
+	connection.sentAt = c.Clock.Now()
 	if _, err := connection.Write(wire); err != nil {
 		return nil, err
 	}
 	for range maxForeignAnswers {
+		if err := connection.await(); err != nil {
+			return nil, err
+		}
 		//nolint:bodyclose // the connection is closed or kept as a whole by Response.Close.
 		answer, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -220,12 +242,8 @@
 		if answer.StatusCode < http.StatusOK {
 			continue
 		}
-		meaning := c.Codec.Answer(answer.StatusCode, answer.Header)
-		own := meaning.ID == request.ID
-		if c.Answered != nil && (own || meaning.Announces()) {
-			c.Answered(request.To, meaning, sent)
-		}
-		if own {
+		meaning := c.meaning(connection, request, answer)
+		if meaning.ID == request.ID {
 			return &Response{
 				Status: answer.StatusCode,
 				Header: answer.Header,
@@ -243,6 +261,15 @@
 	return nil, errors.New("only answers of other requests came")
 }
 
+// meaning reads what a target says with an answer, and tells it on.
+func (c *Client) meaning(connection *conn, request Request, answer *http.Response) shelfshelf.Answer {
+	meaning := c.Codec.Answer(answer.StatusCode, answer.Header)
+	if c.Answered != nil && (meaning.ID == request.ID || meaning.Announces()) {
+		c.Answered(request.To, meaning, connection.sentAt)
+	}
+	return meaning
+}
+
 // skip reads over the answer of another request.
 func skip(answer *http.Response) error {
 	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -18,6 +19,23 @@
 	idleSince time.Time
 	keep      time.Duration
 	used      bool
+	// sentAt is when its latest request was sent, and awaiting says that no byte of an answer
+	// to it has come.
+	sentAt   time.Time
+	awaiting bool
+}
+
+// await waits for the first byte of an answer, which is left to be read.
+func (c *conn) await() error {
+	c.awaiting = true
+	if _, err := c.reader.Peek(1); err != nil {
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	c.awaiting = false
+	return nil
 }
 
 // quiet reports that the connection is open and holds no bytes that nobody asked
