Callers that are refused after targets turned them away come back when one has had its rest

Cause: three refusals of an own text (no target left, a failure that may not be repeated, the line's end) had times of their own. All ask the balancer now; targets that failed the request count, since who comes back comes with another one.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -216,7 +216,7 @@
 	p := b.pools[need.Pool]
 	if p == nil || p.hopeless(need) {
 		b.mu.Unlock()
-		return nil, &Refusal{Reason: shelfshelf.RefusedNoTarget, RetryAfter: shortestRetryAfter}
+		return nil, &Refusal{Reason: shelfshelf.RefusedNoTarget, RetryAfter: max(b.RestLeft(need), shortestRetryAfter)}
 	}
 	ahead := p.ahead(need)
 	if ahead == 0 {
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -33,34 +33,41 @@
 // refuseForRest refuses a request at once where all targets that it may go to want rest for longer
 // than it can wait; nil where it may be served.
 func (b *Balancer) refuseForRest(need Need) *Refusal {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := b.pools[need.Pool]
-	if p == nil {
-		return nil
-	}
-	now := b.Clock.Now()
-	until := p.restsUntil(need, now)
-	if !until.After(need.WaitUntil) {
+	if !b.restsUntil(need).After(need.WaitUntil) {
 		return nil
 	}
-	return &Refusal{Reason: shelfshelf.RefusedRest, RetryAfter: afterRest(need, until.Sub(now))}
+	return &Refusal{Reason: shelfshelf.RefusedRest, RetryAfter: b.comeBack(need)}
 }
 
 // comeBack is when a refused caller may come back: not before one of the targets has had its rest
 // where all of them want some.
 func (b *Balancer) comeBack(need Need) time.Duration {
+	if left := b.RestLeft(need); left > 0 {
+		return left
+	}
+	return retryAfter(need)
+}
+
+// RestLeft is how long a refused caller should stay away since all targets want rest; 0 if one of
+// them wants none now. Those that have failed the request count too: who comes back comes with
+// another one.
+func (b *Balancer) RestLeft(need Need) time.Duration {
+	need.Avoid = nil
+	until := b.restsUntil(need)
+	if until.IsZero() {
+		return 0
+	}
+	return afterRest(need, until.Sub(b.Clock.Now()))
+}
+
+// restsUntil asks the pool of a request.
+func (b *Balancer) restsUntil(need Need) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.Clock.Now()
-	p := b.pools[need.Pool]
-	if p == nil {
-		return retryAfter(need)
-	}
-	if until := p.restsUntil(need, now); !until.IsZero() {
-		return afterRest(need, until.Sub(now))
+	if p := b.pools[need.Pool]; p != nil {
+		return p.restsUntil(need, b.Clock.Now())
 	}
-	return retryAfter(need)
+	return time.Time{}
 }
 
 // afterRest is when callers may come back who wait for a rest to end; they come spread over the
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -51,7 +51,7 @@
 		}
 		c.avoid = append(c.avoid, lease.Target.Name)
 		if !c.repeatable() || !c.mayRepeat(err) {
-			c.endPlain(failure, c.giveUp(err.Error(), brokenRetryAfter))
+			c.endPlain(failure, c.giveUp(err.Error(), c.comeBack()))
 			return
 		}
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -262,6 +262,11 @@
 	return lease, nil
 }
 
+// comeBack is when the caller of a request that its targets have failed may come back.
+func (c *request) comeBack() time.Duration {
+	return max(brokenRetryAfter, c.server.Balancer.RestLeft(c.need()))
+}
+
 // giveUp is the answer to a request that no target has answered: the promise that
 // it has not run is only made where it is true.
 func (c *request) giveUp(text string, retryAfter time.Duration) *refusal {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,7 +51,7 @@
 		}
 		c.avoid = append(c.avoid, lease.Target.Name)
 		if errors.Is(err, errAborted) || !s.resumable() || !c.mayRepeat(err) {
-			s.end(c.giveUp(err.Error(), brokenRetryAfter))
+			s.end(c.giveUp(err.Error(), c.comeBack()))
 			return
 		}
 		if c.headWritten {
--- a/node/limited_test.go
+++ b/node/limited_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -52,6 +53,8 @@
 	answers map[string]int
 	// refused are the requests that were refused.
 	refused []string
+	// refusals is when that was, and when they were told to come back.
+	refusals []refusal
 	// refusable says that requests may be refused: no target takes what comes.
 	refusable bool
 	// away are the instances that are cut off.
@@ -60,6 +63,11 @@
 	few int
 }
 
+// refusal is when a caller was refused, and when it was told to come back.
+type refusal struct {
+	at, back time.Time
+}
+
 // newLimited lists targets of each kind and waits until instances know them.
 func newLimited(l *large, each int) *limited {
 	p := &limited{
@@ -164,8 +172,9 @@
 	request.Header.Set("Authorization", "Bearer k1")
 	wasAway := p.isAway(at)
 	response, err := client.Do(request)
-	status := "broken"
+	status, retryAfter := "broken", ""
 	if err == nil {
+		retryAfter = response.Header.Get("Retry-After")
 		_, err = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
 		status = fmt.Sprint(response.StatusCode)
@@ -178,6 +187,12 @@
 	p.answers[kind+" "+status]++
 	if status == "503" {
 		p.refused = append(p.refused, id)
+		seconds, err := strconv.ParseFloat(retryAfter, 64)
+		if err != nil {
+			p.t.Error(err)
+		}
+		now := p.clock.Now()
+		p.refusals = append(p.refusals, refusal{at: now, back: now.Add(time.Duration(seconds * float64(time.Second)))})
 	}
 }
 
--- a/node/rest_test.go
+++ b/node/rest_test.go
@@ -53,6 +53,43 @@
 	}
 }
 
+// Whoever is refused is told to come back when a target has had its rest, also the caller whose own
+// request was the last to be turned away.
+func TestCallersComeBackAfterRests(t *testing.T) {
+	playLarge(t, 6, false, func(l *large) {
+		p := newLimited(l, 2)
+		p.few = 1
+		p.refusable = true
+		p.rest(1, "10", "e0", "e1", "p0", "p1")
+		p.load(2 * time.Second)
+		p.checkRests("e0", "e1", "p0", "p1")
+		if len(p.refused) == 0 {
+			t.Fatal("nobody was refused")
+		}
+		var told time.Time
+		rested := p.clock.Now().Add(time.Minute)
+		for _, name := range []string{"e0", "e1", "p0", "p1"} {
+			for _, a := range p.targets[name].Arrivals() {
+				if until := a.Answered.Add(10 * time.Second); until.Before(rested) {
+					rested = until
+				}
+				if a.Answered.After(told) {
+					told = a.Answered
+				}
+			}
+		}
+		early := 0
+		for _, refused := range p.refusals {
+			if !refused.at.Before(told) && refused.back.Before(rested) {
+				early++
+			}
+		}
+		if early > 0 {
+			t.Errorf("%d of %d were told to come back before any target had had its rest", early, len(p.refusals))
+		}
+	})
+}
+
 // A rest outlives the target's entry: one that lapses and comes back as it was has not had it.
 func TestRestOutlivesAnEntry(t *testing.T) {
 	playLarge(t, 24, false, func(l *large) {
