--- a/upstream/client.go
+++ b/upstream/client.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -26,8 +25,6 @@
 	DialTimeout = 150 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged.
 	userTimeout = 1500 * time.Millisecond
-	// underWay is how long an answer that a target has given may take to come.
-	underWay = 20 * time.Millisecond
 	// maxIdle is how long an unused connection is kept where the target doesn't say;
 	// servers close or forget them without a word after some time.
 	maxIdle = 4 * time.Second
@@ -122,37 +119,6 @@
 	return response, nil
 }
 
-// giveUp ends an exchange without an answer, and returns why. Where nobody waits for the answer any
-// more, it is still read if it is under way: its target may say with it that it leaves or wants
-// rest.
-func (c *Client) giveUp(ctx context.Context, connection *conn, request Request, cause error) error {
-	if ctx.Err() == nil {
-		_ = connection.Close()
-		return cause
-	}
-	if connection.awaiting {
-		go c.runLate(connection, request)
-	} else {
-		_ = connection.Close()
-	}
-	return ctx.Err()
-}
-
-// runLate reads the head of an answer that nobody waits for, if it comes within a moment.
-func (c *Client) runLate(connection *conn, request Request) {
-	ending := time.AfterFunc(underWay, func() { _ = connection.Close() })
-	defer ending.Stop()
-	defer func() { _ = connection.Close() }()
-	if connection.SetDeadline(time.Time{}) != nil {
-		return
-	}
-	//nolint:bodyclose // the connection is closed as a whole.
-	answer, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
-	if err == nil {
-		c.meaning(connection, request, answer)
-	}
-}
-
 // Reach opens a connection to an address and keeps it for the next request; the error says
 // why there is none.
 func (c *Client) Reach(ctx context.Context, address string) error {
@@ -415,20 +381,3 @@
 		_ = connection.Close()
 	}
 }
-
-// keepAlive reads how long a target keeps an idle connection; zero if it doesn't
-// say.
-func keepAlive(header http.Header) time.Duration {
-	for item := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
-		text, found := strings.CutPrefix(strings.TrimSpace(item), "timeout=")
-		if !found {
-			continue
-		}
-		seconds, err := strconv.Atoi(text)
-		if err != nil {
-			continue // a time that can't be read counts as none
-		}
-		return time.Duration(seconds) * time.Second
-	}
-	return 0
-}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,7 +5,10 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -92,3 +95,20 @@
 	}
 	return failed
 }
+
+// keepAlive reads how long a target keeps an idle connection; zero if it doesn't
+// say.
+func keepAlive(header http.Header) time.Duration {
+	for item := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(item), "timeout=")
+		if !found {
+			continue
+		}
+		seconds, err := strconv.Atoi(text)
+		if err != nil {
+			continue // a time that can't be read counts as none
+		}
+		return time.Duration(seconds) * time.Second
+	}
+	return 0
+}
