soak: a watch on the test's own process, and each signal that it sends

TestSoak's own process once stood still for 18 s with its targets, its store and its callers, and nothing that it printed can tell why. No check is changed.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -94,6 +94,8 @@
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("seed %d:\n%s", seed, strings.Join(plan.lines, "\n"))
+			s.logSignals(t)
+			own.report(t)
 			s.logEnds(t)
 			keepLogs(t, s, seed)
 		}
@@ -142,6 +144,15 @@
 	}
 }
 
+// logSignals prints which signals this soak sent to which process ids.
+func (s *stage) logSignals(t *testing.T) {
+	for _, p := range s.nodes {
+		p.mu.Lock()
+		t.Logf("signals:\n%s", strings.Join(p.sent, "\n"))
+		p.mu.Unlock()
+	}
+}
+
 // logEnds prints the last lines of each process's log: a run that keeps no folder, such as
 // CI's, tells by them what a failed one was at.
 func (s *stage) logEnds(t *testing.T) {
--- a/test/soak/stage_test.go
+++ b/test/soak/stage_test.go
@@ -70,6 +70,8 @@
 	disturbed time.Time
 	// stopped is when it was sent a signal that ends it, or has it stand still or go on.
 	stopped []time.Time
+	// sent tells each signal that it was sent, with the id that it went to.
+	sent []string
 }
 
 // target is a stand-in of a target behind a link.
@@ -242,6 +244,7 @@
 	if signal != syscall.SIGHUP {
 		p.stopped = append(p.stopped, time.Now())
 	}
+	p.sent = append(p.sent, fmt.Sprintf("%s: %v to %s, id %d", time.Now().Format("15:04:05.000"), signal, p.name, p.command.Process.Pid))
 	// One that has ended already needs no signal.
 	_ = p.command.Process.Signal(signal)
 }
