rollout: a version is judged by what most of its targets show, not by its worst ones

Operators of small pools saw good versions rolled back because some of the targets that were tried first were slow machines or failed by themselves, and versions three times slower, or failing 0.3, go on beside them undecided.

--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -147,6 +147,19 @@
 	return r.counts[word.Pool][word.Version]
 }
 
+// listedOthers returns how many targets the pool has of other versions.
+func (r *Record) listedOthers(word shelfshelf.Rollout) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	others := 0
+	for version, count := range r.counts[word.Pool] {
+		if version != word.Version {
+			others += count
+		}
+	}
+	return others
+}
+
 // held returns the versions of a pool of which it isn't known yet whether they were ordered;
 // the lock is held.
 func (r *Record) held(pool shelfshelf.PoolName) []shelfshelf.TargetVersion {
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -226,7 +226,7 @@
 // judge judges an order; a version that is held for bad gets nothing more from the instant
 // at which the others hear of it, whether it can be written down or not.
 func (k *Keeper) judge(word shelfshelf.Rollout, t *trial) {
-	t.judge.Targets = k.Record.Listed(word)
+	t.judge.Targets, t.judge.OldTargets = k.Record.Listed(word), k.Record.listedOthers(word)
 	t.verdict = t.judge.Verdict()
 	if !t.verdict.Bad || word.Halted {
 		return
--- a/rollout/sim_test.go
+++ b/rollout/sim_test.go
@@ -394,9 +394,9 @@
 
 // outcome sums up roll-outs of one kind.
 type outcome struct {
-	runs, wrong, unfound, missed, over, late, duties int
-	exposure                                         float64
-	notes                                            []string
+	runs, wrong, unfound, missed, completed, undecided, over, late, duties int
+	exposure                                                               float64
+	notes                                                                  []string
 }
 
 func (o *outcome) add(w *world, seed uint64) {
@@ -415,11 +415,17 @@
 	}
 	if w.bad && !rolledBack {
 		o.unfound++
+		if w.state == shelfshelf.RolloutCompleted {
+			o.completed++
+		}
 		if w.shown >= telling {
 			o.missed++
 			note("a bad version was not found")
 		}
 	}
+	if !w.state.Over() {
+		o.undecided++
+	}
 	if w.bad && float64(w.exposed) > share*float64(w.all)+slack {
 		o.over++
 		note("over its exposure")
@@ -445,11 +451,11 @@
 	t.Parallel()
 	periods := []time.Duration{12 * time.Second, 20 * time.Second, 40 * time.Second}
 	var mu sync.Mutex
-	lines := []string{"| instances | period | version | roll-outs | good rolled back | bad not found | of these shown | over exposure | used too long | duties met | most exposure |"}
+	lines := []string{"| instances | period | version | roll-outs | good rolled back | bad not found | of these shown | of these completed | undecided | over exposure | used too long | duties met | most exposure |"}
 	t.Cleanup(func() { t.Log(strings.Join(lines, "\n")) })
-	for s, deployment := range sizes {
+	for _, deployment := range sizes {
 		for _, period := range periods {
-			if s != 1 && period != periods[0] {
+			if deployment.instances != sizes[1].instances && period != periods[0] {
 				continue
 			}
 			for _, f := range faults {
@@ -464,8 +470,8 @@
 					sum.check(t)
 					mu.Lock()
 					defer mu.Unlock()
-					lines = append(lines, fmt.Sprintf("| %d | %v | %s | %d | %d | %d | %d | %d | %d | %d | %.3f |", deployment.instances, period, f.name,
-						sum.runs, sum.wrong, sum.unfound, sum.missed, sum.over, sum.late, sum.duties, sum.exposure))
+					lines = append(lines, fmt.Sprintf("| %d | %v | %s | %d | %d | %d | %d | %d | %d | %d | %d | %d | %.3f |", deployment.instances, period, f.name,
+						sum.runs, sum.wrong, sum.unfound, sum.missed, sum.completed, sum.undecided, sum.over, sum.late, sum.duties, sum.exposure))
 				})
 			}
 		}
--- a/rollout/stretch.go
+++ b/rollout/stretch.go
@@ -27,6 +27,18 @@
 	ratios map[shelfshelf.TargetName][][]float64
 }
 
+func newStretch(number int, moving bool) *stretch {
+	return &stretch{number: number, moving: moving, fresh: make(map[shelfshelf.TargetName]*Cell)}
+}
+
+// join adds the answers of a later one.
+func (s *stretch) join(later *stretch) {
+	s.old.add(&later.old)
+	for target, cell := range later.fresh {
+		s.take(target, cell)
+	}
+}
+
 func (s *stretch) take(target shelfshelf.TargetName, cell *Cell) {
 	if target == "" {
 		s.old.add(cell)
@@ -38,30 +50,50 @@
 	s.fresh[target].add(cell)
 }
 
+// told reports that a stretch has answers enough: of old targets, or of new ones alone while nearly
+// all go there.
+func (s *stretch) told() bool {
+	answers := s.old.Answers
+	if s.moving {
+		for _, cell := range s.fresh {
+			answers += cell.Answers
+		}
+	}
+	return answers >= leastBeside
+}
+
 // weigh computes a stretch's ratios, given the old version's answers of before.
 func (s *stretch) weigh(usual *Cell) {
 	s.ratios = make(map[shelfshelf.TargetName][][]float64, len(s.fresh))
 	for name, cell := range s.fresh {
 		ratios := make([][]float64, len(marks))
 		for i, m := range marks {
-			table, known := s.table(m, cell, usual)
-			base := m.base
-			if s.moving {
-				base = m.moveBase
-			}
-			for _, factor := range m.factors {
-				if s.moving {
-					factor = max(factor, m.moveFactor)
-				}
-				if known {
-					ratios[i] = append(ratios[i], table.logRatio(factor, base))
-				}
+			if table, known := s.table(m, cell, usual); known {
+				ratios[i] = s.ratiosOf(m, table)
 			}
 		}
 		s.ratios[name] = ratios
 	}
 }
 
+// ratiosOf returns a mark's ratios: by factor against its wide base, then against its narrow one.
+func (s *stretch) ratiosOf(m mark, table count) []float64 {
+	return append(s.against(m.wide, table), s.against(m.narrow, table)...)
+}
+
+// against returns the ratios of each factor against the base.
+func (s *stretch) against(odds odds, table count) []float64 {
+	ratios := make([]float64, len(odds.factors))
+	for i, factor := range odds.factors {
+		base := odds.base
+		if s.moving {
+			factor, base = max(factor, odds.moveFactor), odds.moveBase
+		}
+		ratios[i] = table.logRatio(factor, base)
+	}
+	return ratios
+}
+
 // table counts a stretch's answers of one new target and of the old ones.
 func (s *stretch) table(m mark, fresh, usual *Cell) (count, bool) {
 	beside := &s.old
--- a/rollout/weigh.go
+++ b/rollout/weigh.go
@@ -7,29 +7,89 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
-// against returns the evidence of one mark on one route in the last stretches: the logarithm of the mean, over the factors, of the likelihood ratios of all
-// targets.
+// against returns the evidence of one mark on one route in the last stretches: the logarithm of
+// the mean, over the factors, of the likelihood ratios of all targets, by the way of weighing
+// them that says most.
 func (j *Judge) against(m int, route shelfshelf.RouteName, window int, limit float64) float64 {
+	targets := j.targetsOf(m, route, window)
+	wide, narrow := parted(targets, len(marks[m].wide.factors))
+	capped := j.capped(narrow, limit, failedPart)
+	if marks[m].times != nil {
+		capped = j.capped(wide, limit, badPart)
+	}
+	against := max(capped, strayed(wide), j.trimmed(narrow, limit))
+	if len(targets) >= leastMany {
+		against = max(against, plain(wide))
+	}
+	if window > longestWindow {
+		against = max(against, surprise(j.shift(m, route)))
+	}
+	return against
+}
+
+// targetsOf returns the ratios of a mark by target on a route in the last stretches.
+func (j *Judge) targetsOf(m int, route shelfshelf.RouteName, window int) map[shelfshelf.TargetName][]float64 {
 	targets := make(map[shelfshelf.TargetName][]float64)
-	j.sum(m, j.routes[route], window, targets)
+	j.sumRatios(m, j.routes[route], window, targets)
 	if window > longestWindow {
 		for name, ratios := range j.past[route] {
 			targets[name] = addTo(targets[name], ratios[m], func(ratio float64) float64 { return ratio })
 		}
 	}
-	against := max(j.capped(targets, limit), strayed(targets))
-	if len(targets) >= leastMany {
-		against = max(against, plain(targets))
+	return targets
+}
+
+// parted parts each target's ratios into those of all tried targets and those of what is left
+// without the worst.
+func parted(targets map[shelfshelf.TargetName][]float64, wides int) (wide, narrow map[shelfshelf.TargetName][]float64) {
+	wide, narrow = make(map[shelfshelf.TargetName][]float64), make(map[shelfshelf.TargetName][]float64)
+	for name, ratios := range targets {
+		wide[name], narrow[name] = ratios[:min(wides, len(ratios))], ratios[min(wides, len(ratios)):]
 	}
-	return against
+	return wide, narrow
 }
 
 // ways is how many ways of weighing a mark's targets there are.
-const ways = 3
+const ways = 5
+
+// trimmed leaves the targets out that speak most against a version, as many as may be bad by
+// themselves, and counts what the others say.
+func (j *Judge) trimmed(targets map[shelfshelf.TargetName][]float64, limit float64) float64 {
+	kept := int(badPart * float64(len(targets)))
+	if kept < leastBad {
+		return 0
+	}
+	most := limit / leastBad
+	var sums []float64
+	for factor := range factorsOf(targets) {
+		var ratios []float64
+		for _, target := range targets {
+			if factor < len(target) {
+				ratios = append(ratios, min(spared(target[factor]), most))
+			}
+		}
+		slices.Sort(ratios)
+		sum := 0.0
+		for _, ratio := range ratios[:min(kept, len(ratios))] {
+			sum += ratio
+		}
+		sums = append(sums, sum)
+	}
+	return logMean(sums)
+}
+
+// factorsOf returns how many factors the targets' ratios are of.
+func factorsOf(targets map[shelfshelf.TargetName][]float64) int {
+	most := 0
+	for _, target := range targets {
+		most = max(most, len(target))
+	}
+	return most
+}
 
 // capped weighs targets, none of which counts for more than its part of the limit.
-func (j *Judge) capped(targets map[shelfshelf.TargetName][]float64, limit float64) float64 {
-	needed := max(leastBad, int(math.Ceil(badPart*float64(len(targets)))))
+func (j *Judge) capped(targets map[shelfshelf.TargetName][]float64, limit, part float64) float64 {
+	needed := max(leastBad, int(math.Ceil(part*float64(len(targets)))))
 	most := limit / float64(min(needed, max(j.Targets, 1)))
 	var sums []float64
 	for _, target := range targets {
@@ -93,15 +153,15 @@
 	return peak + math.Log(total/float64(len(logs)))
 }
 
-// sum adds up a mark's ratios by target and factor over the last stretches.
-func (j *Judge) sum(m int, stretches []*stretch, window int, targets map[shelfshelf.TargetName][]float64) {
+// sumRatios adds up a mark's ratios by target and factor over the last stretches.
+func (j *Judge) sumRatios(m int, stretches []*stretch, window int, targets map[shelfshelf.TargetName][]float64) {
 	for _, s := range slices.Backward(stretches) {
 		if j.count-s.number >= window {
 			return
 		}
 		for name, ratios := range s.ratios {
 			if targets[name] == nil {
-				targets[name] = make([]float64, len(marks[m].factors))
+				targets[name] = make([]float64, len(marks[m].wide.factors)+len(marks[m].narrow.factors))
 			}
 			for i, ratio := range ratios[m] {
 				targets[name][i] += ratio
