--- a/rollout.go
+++ b/rollout.go
@@ -58,6 +58,9 @@
 	State RolloutState
 	// Moving is how long ago the new version began to take over; zero before.
 	Moving time.Duration
+	// Doubted is the order's age until which what was counted speaks against the new version but
+	// doesn't suffice: more is tried of it until then.
+	Doubted time.Duration
 	// Halted says that an instance holds the new version for bad: none sends it anything
 	// from then on, also before that is written down.
 	Halted bool
@@ -75,7 +78,7 @@
 	if r.Revision != known.Revision {
 		return r.Revision > known.Revision
 	}
-	return r.State > known.State || r.Halted && !known.Halted || r.Stored > known.Stored
+	return r.State > known.State || r.Halted && !known.Halted || r.Stored > known.Stored || r.Doubted > known.Doubted
 }
 
 // RolloutStore keeps how far orders have come, and tells the operator.
--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -91,8 +91,8 @@
 
 // tryNew decides whether a request tries the new version; the lock is held.
 func (r *Record) tryNew(o *order, word shelfshelf.Rollout, targets []shelfshelf.Target, choice *shelfshelf.VersionChoice) {
-	share := r.Bounds.trialShare()
-	if !o.mayTry(share, r.more()) {
+	share := r.Bounds.shareSince(word, o.since)
+	if !o.mayTry(share, r.more()+o.extra) {
 		return
 	}
 	var fresh []shelfshelf.Target
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -23,6 +23,8 @@
 	// askTimeout bounds one ask and asksAtOnce how many are under way.
 	askTimeout = 250 * time.Millisecond
 	asksAtOnce = 24
+	// doubtLasts is how long a doubt holds that is not renewed.
+	doubtLasts = 1500 * time.Millisecond
 	// saveTimeout bounds a write or a read of how far an order has come.
 	saveTimeout = 700 * time.Millisecond
 	// overdueFactor times as many trials under way as usual, and overdueSlack more, put the
@@ -229,6 +231,7 @@
 	t.judge.Targets, t.judge.OldTargets = k.Record.Listed(word), k.Record.listedOthers(word)
 	t.verdict = t.judge.Verdict()
 	if !t.verdict.Bad || word.Halted {
+		k.doubt(word, t)
 		return
 	}
 	k.log(word, t, "A new version is held for bad.")
@@ -236,6 +239,16 @@
 	k.Record.Heard([]shelfshelf.Rollout{word}, 0, "own verdict")
 }
 
+// doubt has the others try more of a version in doubt, so that it is soon decided.
+func (k *Keeper) doubt(word shelfshelf.Rollout, t *trial) {
+	if !t.verdict.Doubted() || word.State >= shelfshelf.RolloutMoving || word.Doubted-word.Age > doubtLasts/2 {
+		return
+	}
+	k.log(word, t, "A new version is in doubt.")
+	word.Doubted = word.Age + doubtLasts
+	k.Record.Heard([]shelfshelf.Rollout{word}, 0, "own verdict")
+}
+
 func (k *Keeper) log(word shelfshelf.Rollout, t *trial, line string) {
 	sent := t.merger.Sum()
 	k.Log.Info(line, "pool", word.Pool, "version", word.Version, "revision", word.Revision, "state", word.State, "age", word.Age,
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -132,7 +132,7 @@
 		}
 		known = &order{
 			earlier:  replacing(known),
-			split:    split{offset: r.random()},
+			split:    split{offset: r.random(), since: word.Age},
 			evidence: Evidence{Pool: word.Pool, Revision: word.Revision, Cells: make(map[CellName]*Cell)},
 		}
 		r.orders[word.Pool] = known
@@ -142,7 +142,7 @@
 	}
 	known.word, known.at = word, now
 	r.Log.Info("An order to move a pool has changed.", "pool", word.Pool, "version", word.Version, "revision", word.Revision,
-		"state", word.State, "halted", word.Halted, "period", word.Period, "age", word.Age, "moving", word.Moving, "from", from)
+		"state", word.State, "halted", word.Halted, "doubted", word.Doubted, "period", word.Period, "age", word.Age, "moving", word.Moving, "from", from)
 	return true
 }
 
@@ -163,6 +163,7 @@
 	word.Halted = word.Halted || known.Halted
 	word.Stored = max(word.Stored, known.Stored)
 	word.Age = max(word.Age, known.Age)
+	word.Doubted = max(word.Doubted, known.Doubted)
 	if len(word.Barred) == 0 {
 		word.Barred = known.Barred
 	}
@@ -245,6 +246,7 @@
 		return
 	}
 	o.all += by
+	o.extra += float64(by) * r.Bounds.extraShare(o.as(r.Clock.Now()))
 	if target.Version == o.word.Version {
 		o.trials += by
 	}
--- a/rollout/sim_test.go
+++ b/rollout/sim_test.go
@@ -455,7 +455,7 @@
 	t.Cleanup(func() { t.Log(strings.Join(lines, "\n")) })
 	for _, deployment := range sizes {
 		for _, period := range periods {
-			if deployment.instances != sizes[1].instances && period != periods[0] {
+			if deployment.instances > sizes[1].instances && period != periods[0] {
 				continue
 			}
 			for _, f := range faults {
@@ -511,3 +511,43 @@
 		sum.check(t)
 	}
 }
+
+// Roll-outs of small pools that once went wrong: good versions were rolled back for some slow or
+// failing targets, and bad ones were used for too long, undecided or completed.
+func TestSimulatedRolloutsThatWentWrong(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		fault  string
+		period time.Duration
+		seeds  []uint64
+	}{
+		{"good", 20 * time.Second, []uint64{1021, 4051}},
+		{"good", 40 * time.Second, []uint64{1010, 1014, 1037, 4181}},
+		{"good, burst", 40 * time.Second, []uint64{1001, 1035}},
+		{"good, grey targets of both", 20 * time.Second, []uint64{1008}},
+		{"slower 3", 12 * time.Second, []uint64{1015, 4004, 4252}},
+		{"slower 3", 20 * time.Second, []uint64{1004, 2004, 4042}},
+		{"slower 3", 40 * time.Second, []uint64{2032, 4158, 4193}},
+		{"fails 0.1", 20 * time.Second, []uint64{1012, 2007, 4015}},
+		{"fails 0.6 under load", 20 * time.Second, []uint64{1004, 1011}},
+		{"fails 0.6 under load", 40 * time.Second, []uint64{1005, 1007, 1018}},
+	} {
+		sum := &outcome{}
+		for _, seed := range c.seeds {
+			w := newWorld(sizes[0], faultNamed(c.fault), c.period, seed)
+			w.play()
+			sum.add(w, seed)
+		}
+		sum.check(t)
+	}
+}
+
+// faultNamed returns a fault of the table.
+func faultNamed(name string) fault {
+	for _, f := range faults {
+		if f.name == name {
+			return f
+		}
+	}
+	panic("no fault is called " + name)
+}
--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -17,13 +17,15 @@
 	Age    int64
 	State  uint8
 	Moving int64
-	Halted bool
-	Stored uint64
-	Barred []string
+	// Doubted is in nanoseconds too.
+	Doubted int64
+	Halted  bool
+	Stored  uint64
+	Barred  []string
 }
 
 // wireBytes bounds what an order takes so, without its names, in bytes.
-const wireBytes = 60
+const wireBytes = 69
 
 // WireSize bounds the size of orders in a message, in bytes.
 func WireSize(rollouts []shelfshelf.Rollout) int {
@@ -43,7 +45,7 @@
 	for i, r := range rollouts {
 		wire[i] = Wire{
 			Pool: string(r.Pool), Revision: r.Revision, Version: string(r.Version), Period: int64(r.Period),
-			Age: int64(r.Age), State: uint8(r.State), Moving: int64(r.Moving), Halted: r.Halted, Stored: r.Stored,
+			Age: int64(r.Age), State: uint8(r.State), Moving: int64(r.Moving), Doubted: int64(r.Doubted), Halted: r.Halted, Stored: r.Stored,
 			Barred: convert[string](r.Barred),
 		}
 	}
@@ -60,7 +62,7 @@
 		rollouts[i] = shelfshelf.Rollout{
 			Pool: shelfshelf.PoolName(w.Pool), Revision: w.Revision, Version: shelfshelf.TargetVersion(w.Version),
 			Period: time.Duration(w.Period), Age: time.Duration(w.Age), State: shelfshelf.RolloutState(w.State),
-			Moving: time.Duration(w.Moving), Halted: w.Halted, Stored: w.Stored,
+			Moving: time.Duration(w.Moving), Doubted: time.Duration(w.Doubted), Halted: w.Halted, Stored: w.Stored,
 			Barred: convert[shelfshelf.TargetVersion](w.Barred),
 		}
 	}
