rollout: an order is completed once the new version has answered under the whole load

Callers met a bad version after its order was completed: with a fault that begins when the version is about to take over (0.9 of the period), 10, 14 and 6 of 20 simulated roll-outs at 6 instances were completed with 12, 20 and 40 s. The old targets stop then, so that nothing can be taken back.

Cause, by the simulation's states: an order was completed as soon as no old target had requests left, which is before the first answers of the whole load have come and been counted; a stretch was weighed only after five rounds while old targets give no answers.

TestLateFaultsAreNeverCompleted failed before and passes.

--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -31,6 +31,10 @@
 	// move off.
 	overdueFactor = 3
 	overdueSlack  = 5
+	// wholeAnswers is how many answers under the whole load a new version is judged by before the
+	// old targets stop, and longestProof how long they are waited for in a pool with few requests.
+	wholeAnswers = 30
+	longestProof = 2 * time.Second
 	// longestDrain is how long the answers of old targets are waited for before they are
 	// stopped all the same, and silentDrain the same for instances that don't answer: those
 	// that can't be reached for longer are not in touch.
@@ -78,6 +82,8 @@
 	// movedAt is since when none of those that answer sends to old targets; zero before.
 	movedAt time.Time
 	sending int
+	// answersAtMove is how many answers of the new version were counted at movedAt.
+	answersAtMove uint64
 	// oldRunning and newRunning are the requests at targets of both, by the last round.
 	oldRunning, newRunning int
 }
@@ -270,7 +276,7 @@
 		k.log(word, t, "A new version is held for good and takes over.")
 		word.State = shelfshelf.RolloutMoving
 		k.Record.Heard([]shelfshelf.Rollout{word}, 0, "own verdict")
-	case word.State == shelfshelf.RolloutMoving && t.drained(now):
+	case word.State == shelfshelf.RolloutMoving && t.drained(now) && t.proven(now):
 		k.save(ctx, word, t, shelfshelf.RolloutCompleted)
 	}
 }
@@ -301,7 +307,7 @@
 		return false
 	}
 	if t.movedAt.IsZero() {
-		t.movedAt = now
+		t.movedAt, t.answersAtMove = now, t.verdict.Trials
 	}
 	free, busy := 0, 0
 	for _, is := range t.free {
@@ -321,6 +327,16 @@
 	return true
 }
 
+// proven reports that the new version has answered under the whole load as it should: a fault that
+// shows only there would reach all callers once the old targets have stopped.
+func (t *trial) proven(now time.Time) bool {
+	waited := now.Sub(t.movedAt)
+	if t.verdict.Doubted() {
+		return waited >= longestDrain
+	}
+	return t.verdict.Trials-t.answersAtMove >= wholeAnswers || waited >= longestProof
+}
+
 // save writes a step down; what the store says of an end stands.
 func (k *Keeper) save(ctx context.Context, word shelfshelf.Rollout, t *trial, state shelfshelf.RolloutState) {
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -54,7 +54,7 @@
 	// rampPart is the part of the move's time over which its share grows to the whole, so
 	// that a fault that only shows under load is seen before all have it; the move takes as
 	// many requests as rampCost of its time at the full rate.
-	rampPart = 0.4
+	rampPart = 0.25
 	rampCost = 1 - rampPart/2
 )
 
--- a/rollout/sim_test.go
+++ b/rollout/sim_test.go
@@ -542,6 +542,24 @@
 	}
 }
 
+// A version that turns bad when it is about to take over is never completed: the old targets stop
+// then, and all callers would meet it.
+func TestLateFaultsAreNeverCompleted(t *testing.T) {
+	t.Parallel()
+	for _, period := range []time.Duration{12 * time.Second, 20 * time.Second, 40 * time.Second} {
+		sum := &outcome{}
+		for seed := uint64(1); seed <= 20; seed++ {
+			w := newWorld(sizes[0], faultNamed("fails 0.6 from 0.9"), period, seed)
+			w.play()
+			sum.add(w, seed)
+		}
+		sum.check(t)
+		if sum.completed > 0 {
+			t.Errorf("%d of %d bad versions were completed in %v", sum.completed, sum.runs, period)
+		}
+	}
+}
+
 // faultNamed returns a fault of the table.
 func faultNamed(name string) fault {
 	for _, f := range faults {
