rollout: a version in doubt has the move's part of the slack; its line tells how much slower it is

While a version is in doubt it can't move, so that its trials may have the move's part of the slack too.

The keeper's line has the factor by which the tried targets are slower (slower): without it nothing tells a judge that sees too little from a version that is hardly slower there.

--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -92,7 +92,7 @@
 // tryNew decides whether a request tries the new version; the lock is held.
 func (r *Record) tryNew(o *order, word shelfshelf.Rollout, targets []shelfshelf.Target, choice *shelfshelf.VersionChoice) {
 	share := r.Bounds.shareSince(word, o.since)
-	if !o.mayTry(share, r.more()+o.extra) {
+	if !o.mayTry(share, r.more(word)+o.extra) {
 		return
 	}
 	var fresh []shelfshelf.Target
@@ -112,12 +112,17 @@
 	choice.Canaries = canaries
 }
 
-// more is how many trials an instance may make beyond its share: an even part of the slack.
-func (r *Record) more() float64 {
+// more is how many trials an instance may make beyond its share: an even part of the slack, and of
+// the move's part of it while the version is in doubt.
+func (r *Record) more(word shelfshelf.Rollout) float64 {
 	if r.Instances == nil {
 		return 0
 	}
-	return slackTrials * r.Bounds.Slack / float64(max(r.Instances(), 1))
+	part := slackTrials
+	if word.Age < word.Doubted {
+		part = slackPart
+	}
+	return part * r.Bounds.Slack / float64(max(r.Instances(), 1))
 }
 
 // Serves reports that the ordered version served before it was ordered: no other is listed
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -33,11 +33,13 @@
 	// leastMany is from how many targets on all may count in full: of 30 targets, more than 11 bad by themselves, which would make the odds three
 	// times those of old ones, are met once in 1,200 if 0.15 of all targets are (binomial).
 	leastMany = 30
-	// mostBad is how many marked answers a new version may have at all while they are
-	// mostTimes as frequent as the old one's, or more, also where the targets that have most of
-	// them are left out: the operator's time to roll back counts from the fiftieth bad answer.
-	mostBad   = 35
-	mostTimes = 3.0
+	// mostFailed and mostSlow are how many marked answers a new version may have at all while
+	// they are mostTimes as frequent as the old one's, or more, also where the targets that have
+	// most of them are left out: the operator's time to roll back counts from the fiftieth bad
+	// answer, and one in four that is slow has no mark.
+	mostFailed = 28
+	mostSlow   = 35
+	mostTimes  = 3.0
 	// leastTrials is how many answers of the new version it takes to hold it for good.
 	leastTrials = 25
 	// doubt is the evidence from which a version is not held for good yet, as the logarithm
@@ -56,6 +58,9 @@
 	// of the others.
 	Trials, Failed uint64
 	Old, OldFailed uint64
+	// Slower is how many times as long its first answers take as the old ones, on the mean of its
+	// tried targets; 0 if not known.
+	Slower float64
 	// Against is the strongest evidence, a logarithm, and Limit where it makes a version bad.
 	Against float64
 	Limit   float64
@@ -189,6 +194,7 @@
 // Verdict judges by all that was counted.
 func (j *Judge) Verdict() Verdict {
 	verdict := j.total
+	verdict.Slower = j.slower()
 	verdict.Limit = j.limit(allRoutes)
 	verdict.Against = math.Inf(-1)
 	for _, window := range windows {
@@ -230,6 +236,19 @@
 	return shift(sums.tried(mark), marks[mark].times(j.usual[route]), j.OldTargets)
 }
 
+// slower returns how many times as long the tried targets' first answers take.
+func (j *Judge) slower() float64 {
+	sums, usual := j.sums[allRoutes], j.usual[allRoutes]
+	if sums == nil || usual == nil {
+		return 0
+	}
+	longer, count := slower(sums.tried(firstAnswers), &usual.First)
+	if count == 0 {
+		return 0
+	}
+	return math.Exp(longer)
+}
+
 // tooMany returns which marked answers the new version has had too many of; empty if none.
 func (j *Judge) tooMany() string {
 	for route, sums := range j.sums {
--- a/rollout/marks.go
+++ b/rollout/marks.go
@@ -45,6 +45,8 @@
 	// wide is for all tried targets, narrow for ways of weighing in which those that have most
 	// marks are left out or count little.
 	wide, narrow odds
+	// most is how many answers with it there may be at all.
+	most uint64
 	// times returns the times that it goes by; nil if it goes by none.
 	times func(cell *Cell) *Histogram
 	// of returns the marked answers and all; false if it can't be told yet.
@@ -56,9 +58,13 @@
 	narrowSlowOdds = odds{base: narrowSlowBase, factors: narrowSlowFactors, moveBase: 20, moveFactor: 100}
 )
 
+// firstAnswers is the place of that mark.
+const firstAnswers = 1
+
 var marks = []mark{
 	{
 		name:   "failures",
+		most:   mostFailed,
 		wide:   odds{base: failBase, factors: failFactors, moveBase: 5, moveFactor: 30},
 		narrow: odds{base: narrowFailBase, factors: failFactors, moveBase: 2, moveFactor: 10},
 		of:     func(cell, _ *Cell) (uint64, uint64, bool) { return cell.Failed, cell.Answers, true },
@@ -70,7 +76,7 @@
 // slowMark tells which answers are slow by their times.
 func slowMark(name string, times func(cell *Cell) *Histogram) mark {
 	return mark{
-		name: name, wide: slowOdds, narrow: narrowSlowOdds, times: times,
+		name: name, wide: slowOdds, narrow: narrowSlowOdds, most: mostSlow, times: times,
 		of: func(cell, usual *Cell) (uint64, uint64, bool) { return slow(times(cell), times(usual)) },
 	}
 }
--- a/rollout/shift.go
+++ b/rollout/shift.go
@@ -13,7 +13,7 @@
 	outlier = 3
 	// dueDeviations is how far beyond mostShift a version is that has had too many slow answers
 	// to be tried on.
-	dueDeviations = 2.5
+	dueDeviations = 2.8
 )
 
 // step is the logarithm of the ratio between two steps of a histogram.
@@ -40,12 +40,24 @@
 // tell a version that is some times slower from a few slow machines: with 9 tried of 18 beside 18
 // old ones one that takes three times as long is five deviations off.
 func shift(tried []part, usual *Histogram, oldTargets int) float64 {
-	mean, variance, all := usual.moments()
+	_, variance, all := usual.moments()
 	if all < leastUsual || variance <= 0 {
 		return 0
 	}
+	longer, count := slower(tried, usual)
+	if count < leastBad {
+		return 0
+	}
+	spread := math.Sqrt(variance * (1/float64(count) + 1/float64(max(oldTargets, 1))))
+	return (longer - mostShift) / spread
+}
+
+// slower returns how much longer the tried targets take than the old ones on the mean, as a
+// logarithm, and how many of them tell it.
+func slower(tried []part, usual *Histogram) (longer float64, count int) {
+	mean, variance, _ := usual.moments()
 	most := outlier * math.Sqrt(variance)
-	sum, count := 0.0, 0
+	sum := 0.0
 	for _, target := range tried {
 		own, _, times := target.times.moments()
 		if times < leastTimes {
@@ -54,11 +66,10 @@
 		sum += min(max(own-mean, -most), most)
 		count++
 	}
-	if count < leastBad {
-		return 0
+	if count == 0 {
+		return 0, 0
 	}
-	spread := math.Sqrt(variance * (1/float64(count) + 1/float64(max(oldTargets, 1))))
-	return (sum/float64(count) - mostShift) / spread
+	return sum / float64(count), count
 }
 
 // surprise returns the negative logarithm of the chance that a normal deviate is so large.
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -84,7 +84,7 @@
 // tooMany reports that the new version has had too many answers with a mark, not only at those
 // of its targets that have most of them: as many as may be bad by themselves are left out.
 func (t *tally) tooMany(mark int) bool {
-	if t.marked(mark) < mostBad {
+	if t.marked(mark) < marks[mark].most {
 		return false
 	}
 	tried := t.tried(mark)
