--- a/test/soak/stage_test.go
+++ b/test/soak/stage_test.go
@@ -22,6 +22,9 @@
 // leastSlots is how many requests a target of a small stage runs at once.
 const leastSlots = 8
 
+// clockTime is how instants are told.
+const clockTime = "15:04:05.000"
+
 const (
 	revokeBound = 3 * time.Second
 	stopBound   = 6 * time.Second
@@ -70,7 +73,7 @@
 	disturbed time.Time
 	// stopped is when it was sent a signal that ends it, or has it stand still or go on.
 	stopped []time.Time
-	// sent tells each signal that it was sent, with the id that it went to.
+	// sent tells each start of it, and each signal that it was sent with the id that it went to.
 	sent []string
 }
 
@@ -222,11 +225,14 @@
 	}
 	command := exec.Command(s.binary, "--settings", p.settings)
 	command.Stdout, command.Stderr = log, log
+	began := time.Now()
 	if err := command.Start(); err != nil {
 		s.t.Fatal(err)
 	}
+	took := time.Since(began)
 	p.mu.Lock()
 	p.command = command
+	p.sent = append(p.sent, fmt.Sprintf("%s: %s started in %v, id %d", began.Format(clockTime), p.name, took, command.Process.Pid))
 	p.mu.Unlock()
 	s.t.Cleanup(func() {
 		_ = command.Process.Signal(syscall.SIGCONT)
@@ -244,7 +250,7 @@
 	if signal != syscall.SIGHUP {
 		p.stopped = append(p.stopped, time.Now())
 	}
-	p.sent = append(p.sent, fmt.Sprintf("%s: %v to %s, id %d", time.Now().Format("15:04:05.000"), signal, p.name, p.command.Process.Pid))
+	p.sent = append(p.sent, fmt.Sprintf("%s: %v to %s, id %d", time.Now().Format(clockTime), signal, p.name, p.command.Process.Pid))
 	// One that has ended already needs no signal.
 	_ = p.command.Process.Signal(signal)
 }
--- a/test/soak/watch_test.go
+++ b/test/soak/watch_test.go
@@ -96,7 +96,7 @@
 			stacks = stacks[:runtime.Stack(stacks, true)]
 			w.mu.Lock()
 			w.gaps = append(w.gaps, fmt.Sprintf("%s: stood still for %v; longest waits and pauses before %s, since %s\n%s",
-				now.Format(time.TimeOnly), gap, before, latencies(), stacks))
+				now.Format(clockTime), gap, before, latencies(), stacks))
 			w.mu.Unlock()
 		}
 		before, last = latencies(), now
@@ -107,6 +107,10 @@
 	close(w.ended)
 	_ = w.ticks.Close()
 	_ = w.command.Wait()
+	for _, gap := range w.gaps {
+		first, _, _ := strings.Cut(gap, "\n")
+		fmt.Fprintln(os.Stderr, "the test's own process:", first)
+	}
 }
 
 // latencies returns the longest wait of a goroutine for a processor, and the longest stop of all
@@ -163,14 +167,14 @@
 		}
 		now := time.Now()
 		if late := now.Sub(looked) - sampleEvery; late > longestGap {
-			fmt.Printf("%s: the sampler itself stood still for %v; %s\n", now.Format(time.TimeOnly), late, s.machine())
+			fmt.Printf("%s: the sampler itself stood still for %v; %s\n", now.Format(clockTime), late, s.machine())
 		}
 		looked = now
 		s.mu.Lock()
 		silent := now.Sub(s.last)
 		s.mu.Unlock()
 		if silent > longestGap {
-			fmt.Printf("%s: silent for %v; %s\n%s", now.Format(time.TimeOnly), silent, s.machine(), s.threads())
+			fmt.Printf("%s: silent for %v; %s\n%s", now.Format(clockTime), silent, s.machine(), s.threads())
 		}
 	}
 }
