node: a slow version is slow by a factor in the test of roll-outs, not by a fixed time

TestRolloutsProveThemselves/slow delayed the new version's answers by 70 ms and took that for eight times as long as 10 ms.

The delay is seven times the median time of the answers before the order now (900 ms at most, below the route's timeout); on an idle machine that is 80 to 150 ms. States, exposure and times are checked as they were. Where the test fails it prints what the keeper thought.

--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -20,6 +20,8 @@
 	exposureShare = 0.1
 	exposureSlack = 50
 	rollbackTime  = 5 * time.Second
+	// longestLate bounds how late answers are, so that none runs into its route's timeout.
+	longestLate = 900 * time.Millisecond
 	// badAnswers is the number of bad answers that rollbackTime counts from.
 	badAnswers = 50
 )
@@ -111,9 +113,18 @@
 type load struct {
 	mu     sync.Mutex
 	sent   int
+	took   []time.Duration
 	failed []string
 }
 
+// usual returns the median time of the answers so far.
+func (l *load) usual() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.Sort(l.took)
+	return l.took[len(l.took)/2]
+}
+
 func (l *load) loop(stop <-chan struct{}, f *fleet, nodes func() []*running, caller int) {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
@@ -125,9 +136,11 @@
 		}
 		id := fmt.Sprint("c", caller, "-", i)
 		path := []string{"/once/x", "/many/x"}[i%2]
+		began := time.Now()
 		got := f.askOn(transport, nodes()[caller%len(nodes())], id, path, nil)
 		l.mu.Lock()
 		l.sent++
+		l.took = append(l.took, time.Since(began))
 		if got.err != nil || got.status != http.StatusOK {
 			l.failed = append(l.failed, fmt.Sprint(id, " ", got.status, " ", got.err))
 		}
@@ -145,22 +158,24 @@
 		faults fake.ServerFaults
 		// later turns the version bad only after a part of the period.
 		later bool
-		want  string
+		// slower is how many times as long as the old version's answers the new one's take.
+		slower int
+		want   string
 	}{
 		"good":             {want: "completed"},
 		"fails":            {faults: fake.ServerFaults{FailShare: 0.6}, want: "rolled_back"},
 		"fails later":      {faults: fake.ServerFaults{FailShare: 0.6}, later: true, want: "rolled_back"},
-		"slow":             {faults: fake.ServerFaults{Late: 70 * time.Millisecond}, want: "rolled_back"},
+		"slow":             {slower: 8, want: "rolled_back"},
 		"fails on a route": {faults: fake.ServerFaults{FailShare: 0.6, OnlyPath: "/many"}, want: "rolled_back"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			proveRollout(t, c.faults, c.later, c.want)
+			proveRollout(t, c.faults, c.later, c.slower, c.want)
 		})
 	}
 }
 
-func proveRollout(t *testing.T, faults fake.ServerFaults, later bool, want string) {
+func proveRollout(t *testing.T, faults fake.ServerFaults, later bool, slower int, want string) {
 	f := newFleet(t)
 	m := &move{f: f, service: "plain", period: 8 * time.Second}
 	m.old = m.serveVersion("v1", 6, fake.ServerFaults{Slow: 10 * time.Millisecond})
@@ -174,6 +189,12 @@
 	time.Sleep(500 * time.Millisecond)
 	bad := faults
 	bad.Slow = 10 * time.Millisecond
+	if slower > 0 {
+		// A busy machine takes part in each answer: what is late by a fixed time is not slower by
+		// as much there.
+		bad.Late = min(time.Duration(slower-1)*callers.usual(), longestLate)
+		t.Logf("answers take %v, those of the new version %v more", callers.usual(), bad.Late)
+	}
 	first := bad
 	if later {
 		first = fake.ServerFaults{Slow: 10 * time.Millisecond}
@@ -202,6 +223,11 @@
 	if got := m.state(); got != want {
 		t.Errorf("the operator is told %q, not %q", got, want)
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(strings.Join(f.log.Lines("A new version"), "\n"))
+		}
+	})
 	toNew := runs(m.new)
 	exposed := countBetween(toNew, m.ordered, deadline)
 	all := exposed + countBetween(runs(m.old), m.ordered, deadline)
