--- a/rollout/outcome_test.go
+++ b/rollout/outcome_test.go
@@ -170,6 +170,8 @@
 	}{
 		{"good", 20 * time.Second, []uint64{4113}},
 		{"good", 40 * time.Second, []uint64{4113}},
+		{"good, grey targets of both", 40 * time.Second, []uint64{100026}},
+		{"slower 3", 12 * time.Second, []uint64{100036}},
 		{"slower 3", 40 * time.Second, []uint64{6267, 100036}},
 		{"fails 0.1", 12 * time.Second, []uint64{7042}},
 	} {
