--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -30,8 +30,9 @@
 	// three times as fast does of being three times slower: without it one such target
 	// outweighs ten others.
 	sparedPart = 0.2
-	// leastMany is from how many targets on all may count in full: of 30 targets, more than 11 bad by themselves, which would make the odds three
-	// times those of old ones, are met once in 1,200 if 0.15 of all targets are (binomial).
+	// leastMany is from how many targets on all may count in full: of 30 targets, more than 11
+	// bad by themselves, which would make the odds three times those of old ones, are met once in
+	// 1,200 if 0.15 of all targets are (binomial).
 	leastMany = 30
 	// mostFailed and mostSlow are how many marked answers a new version may have at all while
 	// they are mostTimes as frequent as the old one's, or more, also where the targets that have
--- a/rollout/outcome_test.go
+++ b/rollout/outcome_test.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// playSmall plays roll-outs of a small pool and checks them together.
-func playSmall(t *testing.T, name string, period time.Duration, seeds []uint64) {
+// playSmall plays roll-outs of a small pool, checks them together and returns how they ended.
+func playSmall(t *testing.T, name string, period time.Duration, seeds []uint64) *outcome {
 	t.Helper()
 	sum := &outcome{}
 	for _, seed := range seeds {
@@ -189,20 +189,19 @@
 		sum.add(w, seed)
 	}
 	sum.check(t)
+	return sum
 }
 
 // A version that turns bad when it is about to take over is never completed: the old targets stop
 // then, and all callers would meet it.
 func TestLateFaultsAreNeverCompleted(t *testing.T) {
 	t.Parallel()
+	var seeds []uint64
+	for seed := range uint64(20) {
+		seeds = append(seeds, seed+1)
+	}
 	for _, period := range []time.Duration{12 * time.Second, 20 * time.Second, 40 * time.Second} {
-		sum := &outcome{}
-		for seed := uint64(1); seed <= 20; seed++ {
-			w := newWorld(sizes[0], faultNamed("fails 0.6 from 0.9"), period, seed)
-			w.play()
-			sum.add(w, seed)
-		}
-		sum.check(t)
+		sum := playSmall(t, "fails 0.6 from 0.9", period, seeds)
 		if sum.completed > 0 {
 			t.Errorf("%d of %d bad versions were completed in %v", sum.completed, sum.runs, period)
 		}
