quota: use that others tell keeps its time over a restart of all

Cause, as far as shown here: the instances tell sums. When within the window a sum was used was taken to be as at the instance that saves, which sees one request in 85; and each word shifted four parts of 2 s by a fraction, which blurs a use over the whole window.

Change: a sum's growth since the word before is what was used since then; parts of 1 s lie between marks that stay where they are; what was saved leaves the window with the last of its part.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// quiet lets time pass in which customers ask for nothing.
+func (f *fleet) quiet(span time.Duration) {
+	for range span / (delay / 2) {
+		f.clock.Advance(delay / 2)
+		f.tell()
+	}
+}
+
 // worst is the most that was let through within any window.
 func (f *fleet) worst() float64 {
 	most, sum := 0.0, 0.0
@@ -322,6 +330,42 @@
 	}
 }
 
+// What the others have used counts as long as it is in the window, also where this instance had its
+// own part of it at another time: the instance that saves sees one request in 85 of a customer's.
+func TestOthersUseKeepsItsTime(t *testing.T) {
+	for name, restart := range map[string]bool{"saved and recalled": true, "without a restart": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(85)
+			const rate = 400000
+			customer := limited(rate)
+			f.clock.Advance(window)
+			// Its own part of the use comes 2.5 s before all else.
+			f.ledgers[0].Charge(customer, rate/10)
+			f.quiet(2500 * time.Millisecond)
+			used := 0.0
+			for i := 1; i < len(f.ledgers); i++ {
+				if f.ledgers[i].Charge(customer, rate/20).OK {
+					used += rate / 20
+				}
+			}
+			f.quiet(3 * time.Second)
+			judge := f.ledgers[0]
+			if restart {
+				saved := judge.All()
+				for i := range f.ledgers {
+					f.restart(i)
+					f.ledgers[i].Recall(shelfshelf.SavedUses{Uses: saved})
+				}
+				judge = f.ledgers[0]
+			}
+			f.quiet(4 * time.Second)
+			if v := judge.Charge(customer, 1); v.Used < used {
+				t.Errorf("%.0f of %.0f tokens used 7 s ago are known", v.Used, used)
+			}
+		})
+	}
+}
+
 // What an instance had used before it was restarted counts as long for the others.
 func TestEndedLivesKeepTheirTime(t *testing.T) {
 	f := newFleet(2)
--- a/quota/saved.go
+++ b/quota/saved.go
@@ -16,10 +16,13 @@
 	for _, use := range saved.Uses {
 		t := l.saved[use.DataCentre]
 		if t == nil {
-			t = &told{at: at, uses: make(map[shelfshelf.CustomerKey]spread)}
+			t = &told{
+				marks: marks{began: at, at: at, part: partOf(l.Window), late: true},
+				uses:  make(map[shelfshelf.CustomerKey]history),
+			}
 			l.saved[use.DataCentre] = t
 		}
-		t.uses[use.Customer] = use.Parts
+		t.uses[use.Customer] = newHistory(use.Parts, spread(use.Parts).sum())
 	}
 }
 
@@ -68,7 +71,7 @@
 	delete(elsewhere, l.DataCentre)
 	for centre, t := range elsewhere {
 		sums := make(map[shelfshelf.CustomerKey]spread)
-		t.addTo(sums, now, l.Window)
+		t.addTo(sums, now)
 		uses = savedUses(uses, centre, sums)
 	}
 	return uses
@@ -92,11 +95,11 @@
 	sums := make(map[shelfshelf.CustomerKey]spread)
 	for _, t := range l.peers {
 		if now.Sub(t.at) > silentAfter {
-			t.addTo(sums, now, l.Window)
+			t.addTo(sums, now)
 		}
 	}
 	for _, t := range l.ended {
-		t.addTo(sums, now, l.Window)
+		t.addTo(sums, now)
 	}
 	return customerUses(sums)
 }
--- a/quota/told.go
+++ b/quota/told.go
@@ -10,29 +10,35 @@
 // told is what others have told last of their use in the window.
 type told struct {
 	incarnation uint64
-	at          time.Time
+	marks
 	// settled says that it comes from one who has seen a whole window.
 	settled bool
-	uses    map[shelfshelf.CustomerKey]spread
+	// parts is how many parts of the window began between the word before and this one.
+	parts int
+	uses    map[shelfshelf.CustomerKey]history
 	// ended is what was told of instances that have ended or are silent, and instances
 	// how many the word is of.
-	ended     map[shelfshelf.CustomerKey]spread
+	ended     map[shelfshelf.CustomerKey]history
 	instances int
 }
 
 // left returns what is still in the window of a use that was told some time ago.
-func (t *told) left(key shelfshelf.CustomerKey, now time.Time, window time.Duration) float64 {
-	return t.rest(key, now, window).sum()
+func (t *told) left(key shelfshelf.CustomerKey, now time.Time) float64 {
+	use, known := t.uses[key]
+	if !known {
+		return 0
+	}
+	return use.left(t.marks, now)
 }
 
 // rest is the same by parts of the window.
-func (t *told) rest(key shelfshelf.CustomerKey, now time.Time, window time.Duration) spread {
-	return t.uses[key].after(now.Sub(t.at), window)
+func (t *told) rest(key shelfshelf.CustomerKey, now time.Time) spread {
+	return t.uses[key].before(t.marks, now)
 }
 
-func (t *told) addTo(sums map[shelfshelf.CustomerKey]spread, now time.Time, window time.Duration) {
+func (t *told) addTo(sums map[shelfshelf.CustomerKey]spread, now time.Time) {
 	for key := range t.uses {
-		sums[key] = sums[key].plus(t.rest(key, now, window))
+		sums[key] = sums[key].plus(t.rest(key, now))
 	}
 }
 
@@ -45,8 +51,11 @@
 	if before != nil && before.incarnation != status.Incarnation {
 		l.ended = append(l.ended, before)
 	}
-	t := l.newTold(status.Incarnation, now, status.Settled, status.Uses)
-	t.ended = l.newTold(0, now, false, status.EndedUses).uses
+	if before != nil && before.incarnation != status.Incarnation {
+		before = nil
+	}
+	t := l.newTold(before, status.Incarnation, now, status.Settled, status.Uses)
+	t.ended = l.newTold(before.endedLives(), 0, now, false, status.EndedUses).uses
 	l.peers[status.From.ID] = t
 	l.ended = slices.DeleteFunc(l.ended, func(t *told) bool { return now.Sub(t.at) >= l.Window })
 }
@@ -58,15 +67,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := l.Clock.Now().Add(-digest.Age)
-	t := l.newTold(0, at, digest.Settled, digest.Uses)
 	if digest.DataCentre == l.DataCentre {
-		l.centre = t
+		l.centre = l.newTold(l.centre, 0, at, digest.Settled, digest.Uses)
 		return
 	}
+	before := l.remotes[digest.DataCentre]
+	t := l.newTold(before, 0, at, digest.Settled, digest.Uses)
 	t.instances = digest.Instances
-	if before := l.remotes[digest.DataCentre]; before != nil && !digest.Settled {
+	if before != nil && !digest.Settled {
 		for key, use := range before.uses {
-			if rest := use.after(max(at.Sub(before.at), 0), l.Window); rest.sum() > t.uses[key].sum() {
+			if rest := use.shifted(t.parts); rest.left(t.marks, at) > t.left(key, at) {
 				t.uses[key] = rest
 			}
 		}
@@ -74,16 +84,35 @@
 	l.remotes[digest.DataCentre] = t
 }
 
-// newTold keeps what was told. Sums don't tell when within the window; callers reach
-// all instances alike, so that it is taken to have been as here. The lock is held.
-func (l *Ledger) newTold(incarnation uint64, at time.Time, settled bool, uses []shelfshelf.CustomerUse) *told {
-	t := &told{incarnation: incarnation, at: at, settled: settled, uses: make(map[shelfshelf.CustomerKey]spread, len(uses))}
+// newTold keeps what was told. Sums don't tell when within the window: what a sum has grown by
+// since the word before was used since then. Of a first word it is taken to have been as here. The
+// lock is held.
+func (l *Ledger) newTold(before *told, incarnation uint64, at time.Time, settled bool, uses []shelfshelf.CustomerUse) *told {
+	t := &told{
+		incarnation: incarnation, settled: settled, uses: make(map[shelfshelf.CustomerKey]history, len(uses)),
+		marks: marks{began: at, at: at, part: partOf(l.Window)},
+	}
+	if before != nil {
+		t.marks, t.parts = before.moved(at)
+	}
 	for _, use := range uses {
+		if before != nil {
+			t.uses[use.Customer] = before.uses[use.Customer].shifted(t.parts).become(use.Amount, t.marks)
+			continue
+		}
 		var shape spread
 		if a := l.accounts[use.Customer]; a != nil {
 			shape = a.own.parts()
 		}
-		t.uses[use.Customer] = shape.scaled(use.Amount)
+		t.uses[use.Customer] = newHistory(shape, use.Amount)
 	}
 	return t
 }
+
+// endedLives is the word on lives that have ended; nil where there is none.
+func (t *told) endedLives() *told {
+	if t == nil {
+		return nil
+	}
+	return &told{marks: t.marks, uses: t.ended}
+}
--- a/quota/used.go
+++ b/quota/used.go
@@ -11,7 +11,7 @@
 	now := l.Clock.Now()
 	used := a.own.sum + max(l.localUse(key, a, now), l.centreUse(key, a, now))
 	for centre, t := range l.remotes {
-		used += max(t.left(key, now, l.Window), l.savedLeft(centre, key, now).sum())
+		used += max(t.left(key, now), l.savedLeft(centre, key, now).sum())
 	}
 	for centre := range l.saved {
 		if centre != l.DataCentre && l.remotes[centre] == nil {
@@ -25,10 +25,10 @@
 func (l *Ledger) localUse(key shelfshelf.CustomerKey, a *account, now time.Time) float64 {
 	used := 0.0
 	for _, t := range l.peers {
-		used += t.left(key, now, l.Window)
+		used += t.left(key, now)
 	}
 	for _, t := range l.ended {
-		used += t.left(key, now, l.Window)
+		used += t.left(key, now)
 	}
 	if now.Sub(l.start) < l.Window {
 		used += l.before(key, a, now)
@@ -42,7 +42,7 @@
 	if l.centre == nil || now.Sub(l.centre.at) > silentAfter {
 		return 0
 	}
-	return l.centre.left(key, now, l.Window) - a.told
+	return l.centre.left(key, now) - a.told
 }
 
 // before returns what counts as used in this data centre before this instance started,
@@ -87,7 +87,7 @@
 			continue
 		}
 		heard = true
-		if use := t.ended[key].after(now.Sub(t.at), l.Window); use.sum() > most.sum() {
+		if use := t.ended[key].before(t.marks, now); use.sum() > most.sum() {
 			most = use
 		}
 	}
@@ -103,16 +103,17 @@
 	if saved == nil {
 		return spread{}
 	}
-	return saved.rest(key, now, l.Window)
+	return saved.rest(key, now)
 }
 
 // unsaved returns what counts as used between the last save and the end of all
 // instances: as much as in the time between two saves before.
 func (l *Ledger) unsaved(key shelfshelf.CustomerKey, a *account) float64 {
-	part := l.Window / shelfshelf.UseParts
+	part := partOf(l.Window)
 	lately := 0.0
 	for _, saved := range l.saved {
-		lately += saved.uses[key][0] * float64(savePeriod) / float64(part)
+		// The first part has just begun.
+		lately += saved.uses[key][1] * float64(savePeriod) / float64(part)
 	}
 	return min(lately+unsavedLeast*a.allowed, unsavedShare*a.allowed)
 }
@@ -125,10 +126,10 @@
 		sums[key] = sums[key].plus(a.own.parts())
 	}
 	for _, t := range l.peers {
-		t.addTo(sums, now, l.Window)
+		t.addTo(sums, now)
 	}
 	for _, t := range l.ended {
-		t.addTo(sums, now, l.Window)
+		t.addTo(sums, now)
 	}
 	if now.Sub(l.start) < l.Window {
 		l.addEnded(sums, now)
--- a/status.go
+++ b/status.go
@@ -110,7 +110,7 @@
 }
 
 // UseParts is how many parts of the window a saved use tells apart.
-const UseParts = 4
+const UseParts = 8
 
 // SavedUse is what a customer had used at the instances of a data centre, in its limit's
 // unit, by equal parts of the window; the newest stands first.
