--- a/call.go
+++ b/call.go
@@ -65,6 +65,9 @@
 	Waiting   int
 	Slots     int
 	LoadKnown bool
+	// Pace is how long work takes at the target now, 1 being as usual, where others share its
+	// machine; 0 if it doesn't say.
+	Pace float64
 	// Limit is what the target says that it takes, and LimitUnread what it says of it that
 	// can't be read, empty if all can.
 	Limit       RateLimit
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -166,6 +166,9 @@
 	if c.load.LoadKnown {
 		fields = append(fields, "targetRunning", c.load.Running, "targetWaiting", c.load.Waiting)
 	}
+	if c.load.Pace > 0 {
+		fields = append(fields, "targetPace", c.load.Pace)
+	}
 	if c.load.Limit.Named {
 		fields = append(fields, "targetLimit", c.load.Limit.PerSecond)
 	}
--- a/quota/told.go
+++ b/quota/told.go
@@ -15,7 +15,7 @@
 	settled bool
 	// parts is how many parts of the window began between the word before and this one.
 	parts int
-	uses    map[shelfshelf.CustomerKey]history
+	uses  map[shelfshelf.CustomerKey]history
 	// ended is what was told of instances that have ended or are silent, and instances
 	// how many the word is of.
 	ended     map[shelfshelf.CustomerKey]history
