gateway, balance: routes and customers that are bound to regions are served there only

Both bind, also when a stream goes on, a failed request is repeated or a new configuration narrows the regions while a request waits: the balancer takes only targets of allowed regions, and the gateway looks again right before the send. Regions of data centres come from the settings.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -46,6 +46,8 @@
 	OutputTokens int
 	// Avoid are targets that have failed this request.
 	Avoid []shelfshelf.TargetName
+	// Homes are the regions that it may be served in; nil means any.
+	Homes *shelfshelf.Homes
 	// Route is the route that the request came on.
 	Route shelfshelf.RouteName
 
@@ -71,6 +73,8 @@
 	Clock shelfshelf.Clock
 	// DataCentre is where this instance runs.
 	DataCentre shelfshelf.DataCentre
+	// Regions are those of the data centres.
+	Regions map[shelfshelf.DataCentre]shelfshelf.Region
 	// Self is this instance.
 	Self shelfshelf.InstanceID
 	// Fleet is the other instances; nil means that there are none.
@@ -148,6 +152,7 @@
 		}
 		state.target = target
 		state.slots = max(target.Slots, 1)
+		state.region = b.Regions[target.DataCentre]
 		b.targets[target.Name] = state
 		state.key = shelfshelf.KeyOfTarget(target.Name)
 		b.recallWord(state)
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -100,7 +100,8 @@
 
 // fits reports that a target may ever get this request.
 func (t *targetState) fits(need Need) bool {
-	return !t.target.Leaving && !slices.Contains(need.Avoid, t.target.Name) && allowed(need.choice, t)
+	home := need.Homes == nil || need.Homes.Allows(t.region)
+	return home && !t.target.Leaving && !slices.Contains(need.Avoid, t.target.Name) && allowed(need.choice, t)
 }
 
 // usable reports that a target may get this request now without an owner's word, as none with
@@ -253,6 +254,7 @@
 	unread := b.unread(t, need, now)
 	lease := &Lease{
 		Target:       t.target,
+		Region:       t.region,
 		CachedTokens: need.PromptTokens - unread,
 		Expected:     b.expect(p, t, unread, now),
 		InFlight:     loaded.requests,
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -12,6 +12,8 @@
 // Lease is a place at a target; Release or Cancel must be called once.
 type Lease struct {
 	Target shelfshelf.Target
+	// Region is where the target runs; empty if that is not known.
+	Region shelfshelf.Region
 	// CachedTokens is how much of the prompt the target is thought to hold.
 	CachedTokens int
 	// Expected is the predicted time to the first token, or to a plain answer.
--- a/balance/target.go
+++ b/balance/target.go
@@ -37,6 +37,8 @@
 type targetState struct {
 	target shelfshelf.Target
 	key    shelfshelf.TargetKey
+	// region is where it runs; empty if that is not known.
+	region shelfshelf.Region
 	// slots is how many requests the target runs at once.
 	slots int
 	// engine says that it runs a model.
--- a/bundle.go
+++ b/bundle.go
@@ -92,6 +92,8 @@
 	// Rank orders customers before the tiers of their routes; 0 is first.
 	Rank   int
 	Limits Limits
+	// Homes are the regions that the customer's requests may be served in.
+	Homes Homes
 	// Routes are the routes the customer may call; empty means all.
 	Routes []RouteName
 	// Tiers overrides a route's tier for this customer.
@@ -151,6 +153,9 @@
 	Public bool
 	// Resumable says that a broken stream may go on at another target.
 	Resumable bool
+	// Homes are the regions that the route's requests may be served in; those of the customer
+	// count too.
+	Homes Homes
 }
 
 // PoolShare is a pool's part of a route.
--- a/catalog.go
+++ b/catalog.go
@@ -16,6 +16,18 @@
 	Bundle   *Bundle
 	// Encoded is the form that instances hand to each other.
 	Encoded []byte
+	// Flaws are the fields that can't be read, of a configuration that is in force all the same.
+	Flaws []Flaw
+}
+
+// Flaw is a field of a configuration that can't be read.
+type Flaw struct {
+	// Place is the field, with the name of what it belongs to, such as route r1: Homes.
+	Place string
+	// Reason says what is wrong.
+	Reason error
+	// Effect says what holds instead.
+	Effect string
 }
 
 // ConfigurationUpdate is the answer to one read of the configuration.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -304,6 +304,9 @@
 	c.index = index
 	c.configurationAt = at
 	c.mu.Unlock()
+	for _, flaw := range configuration.Flaws {
+		c.Log.Error("A field of the configuration can't be read.", "revision", configuration.Revision, "place", flaw.Place, "error", flaw.Reason, "effect", flaw.Effect)
+	}
 	c.Log.Info("A configuration is in force.", "revision", configuration.Revision, "from", from,
 		"age", c.Clock.Now().Sub(at), "bytes", len(configuration.Encoded), "routes", len(configuration.Bundle.Routes), "customers", len(configuration.Bundle.Customers))
 	c.notify(from)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,6 +33,9 @@
 	// known late, one that is full by now may have been chosen, while others have places.
 	// Each such try counts in the budget of repeats.
 	maxTurnedAway = 3
+	// placeTries bounds how often a place is looked for again because a new configuration has
+	// narrowed the regions that the request is bound to while it waited.
+	placeTries = 3
 	// leastLeft is the least time that is worth sending a request with.
 	leastLeft = 20 * time.Millisecond
 )
@@ -147,6 +150,9 @@
 	}
 	if c.route != nil {
 		fields = append(fields, "route", c.route.Name)
+		if homes := c.homes(); homes.Bound {
+			fields = append(fields, "homes", homes.Regions)
+		}
 	}
 	if c.fingerprint != 0 {
 		fields = append(fields, "fingerprint", c.fingerprint)
@@ -216,6 +222,9 @@
 	if c.customer != nil {
 		need.Rank = c.customer.Rank
 	}
+	if homes := c.homes(); homes.Bound {
+		need.Homes = &homes
+	}
 	now := c.server.Clock.Now()
 	switch {
 	case c.attempts() > 0:
@@ -251,18 +260,24 @@
 
 // place waits for a place at a target and checks that the request may still go there.
 func (c *request) place() (*balance.Lease, *refusal) {
-	if refused := c.heldBack(); refused != nil {
-		return nil, refused
-	}
-	lease, refused := c.acquire()
-	if refused != nil {
-		return nil, refused
-	}
-	if refused := c.maySend(); refused != nil {
+	for range placeTries {
+		if refused := c.heldBack(); refused != nil {
+			return nil, refused
+		}
+		lease, refused := c.acquire()
+		if refused != nil {
+			return nil, refused
+		}
+		if refused := c.maySend(); refused != nil {
+			lease.Cancel()
+			return nil, refused
+		}
+		if c.homes().Allows(lease.Region) {
+			return lease, nil
+		}
 		lease.Cancel()
-		return nil, refused
 	}
-	return lease, nil
+	return nil, c.giveUp("the regions allowed have changed", brokenRetryAfter)
 }
 
 // comeBack is when the caller of a request that its targets have failed may come back.
--- a/names.go
+++ b/names.go
@@ -23,6 +23,9 @@
 // DataCentre names the place an instance or a target runs in.
 type DataCentre string
 
+// Region names a group of data centres.
+type Region string
+
 // Tier ranks requests; 0 is the highest and is shed last.
 type Tier int
 
--- a/node/build.go
+++ b/node/build.go
@@ -36,6 +36,7 @@
 	n.balancer = &balance.Balancer{
 		Clock:      n.Clock,
 		DataCentre: n.Settings.DataCentre,
+		Regions:    n.Settings.Regions,
 		Self:       n.Settings.Instance,
 		Fleet:      n,
 		Rollouts:   n.rollouts,
--- a/settings/node.go
+++ b/settings/node.go
@@ -35,6 +35,8 @@
 type Node struct {
 	Instance   shelfshelf.InstanceID
 	DataCentre shelfshelf.DataCentre
+	// Regions are those of the data centres, as far as they are known.
+	Regions map[shelfshelf.DataCentre]shelfshelf.Region
 	// Callers, Ready, Peer and Store are IP and port.
 	Callers string
 	Ready   string
@@ -89,6 +91,7 @@
 type wireNode struct {
 	Instance    string     `json:"instance"`
 	DataCentre  string     `json:"dataCentre"`
+	Regions     regions    `json:"regions"`
 	Callers     string     `json:"callers"`
 	Ready       string     `json:"ready"`
 	Peer        string     `json:"peer"`
@@ -106,6 +109,17 @@
 	Rollout *wireRollout `json:"rollout"`
 }
 
+// regions are the regions of data centres.
+type regions map[string]string
+
+func (r regions) domain() map[shelfshelf.DataCentre]shelfshelf.Region {
+	read := make(map[shelfshelf.DataCentre]shelfshelf.Region, len(r))
+	for centre, region := range r {
+		read[shelfshelf.DataCentre(centre)] = shelfshelf.Region(region)
+	}
+	return read
+}
+
 type wireRetry struct {
 	Ratio  float64 `json:"ratio"`
 	Slack  float64 `json:"slack"`
@@ -130,6 +144,7 @@
 	node := &Node{
 		Instance:    shelfshelf.InstanceID(wire.Instance),
 		DataCentre:  shelfshelf.DataCentre(wire.DataCentre),
+		Regions:     wire.Regions.domain(),
 		Callers:     wire.Callers,
 		Ready:       wire.Ready,
 		Peer:        wire.Peer,
