evacuation: targets of data centres that the operator evacuates get nothing new

Readers of the store take it with the configuration; each status tells which are evacuated, as of which version of the store, and the newest goes before all else, so that a store that is down, drops its history or turns some away changes nothing. An instance is not ready before it knows. What runs goes on; repeats and resumed streams choose anew.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -96,6 +96,8 @@
 	// the one before it without a look at every target.
 	peersUse   map[shelfshelf.InstanceID][]*targetState
 	remotesUse map[shelfshelf.DataCentre][]*targetState
+	// evacuated are the data centres whose targets get nothing new.
+	evacuated  []shelfshelf.DataCentre
 	placements placements
 	view       view
 	// observations are those since the last status.
@@ -153,6 +155,7 @@
 		state.target = target
 		state.slots = max(target.Slots, 1)
 		state.region = b.Regions[target.DataCentre]
+		state.evacuated = slices.Contains(b.evacuated, target.DataCentre)
 		b.targets[target.Name] = state
 		state.key = shelfshelf.KeyOfTarget(target.Name)
 		b.recallWord(state)
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -101,7 +101,7 @@
 // fits reports that a target may ever get this request.
 func (t *targetState) fits(need Need) bool {
 	home := need.Homes == nil || need.Homes.Allows(t.region)
-	return home && !t.target.Leaving && !slices.Contains(need.Avoid, t.target.Name) && allowed(need.choice, t)
+	return home && !t.evacuated && !t.target.Leaving && !slices.Contains(need.Avoid, t.target.Name) && allowed(need.choice, t)
 }
 
 // usable reports that a target may get this request now without an owner's word, as none with
--- a/balance/target.go
+++ b/balance/target.go
@@ -39,6 +39,8 @@
 	key    shelfshelf.TargetKey
 	// region is where it runs; empty if that is not known.
 	region shelfshelf.Region
+	// evacuated says that its data centre is.
+	evacuated bool
 	// slots is how many requests the target runs at once.
 	slots int
 	// engine says that it runs a model.
--- a/catalog.go
+++ b/catalog.go
@@ -37,6 +37,8 @@
 	// Rollouts are orders to move pools that were read, with how far they have come; with
 	// none newer that had been given when the source stood at Cursor.
 	Rollouts []Rollout
+	// Evacuations are what was read of data centres to evacuate.
+	Evacuations EvacuationUpdate
 	// UnreadableOrders are entries that should be orders and aren't.
 	UnreadableOrders []UnreadableOrder
 	// Cursor is where the next read goes on.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -73,6 +73,8 @@
 	// Ordered is called with the orders to move pools that a read of the source has brought;
 	// there was no other when the source stood at asOf. May be nil.
 	Ordered func(orders []shelfshelf.Rollout, asOf uint64)
+	// Evacuations is called with what a read of the source has brought of them; may be nil.
+	Evacuations func(update shelfshelf.EvacuationUpdate)
 
 	mu      sync.Mutex
 	index   *Index
@@ -148,6 +150,9 @@
 	for _, entry := range update.UnreadableOrders {
 		c.Log.Warn("An order to move a pool can't be read and is left out.", "entry", entry.Name, "error", entry.Reason)
 	}
+	if c.Evacuations != nil {
+		c.Evacuations(update.Evacuations)
+	}
 	if c.Ordered != nil {
 		c.Ordered(update.Rollouts, update.Cursor)
 	}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -14,7 +14,7 @@
 )
 
 // wireVersion changes with the form of messages.
-const wireVersion = 9
+const wireVersion = 10
 
 // The most bytes that one entry takes in CBOR, and all else of a message or a digest.
 const (
@@ -23,6 +23,8 @@
 	speedSize  = 16
 	memberSize = 32
 	framesSize = 400
+	// nameFrame is what a name takes beside its letters.
+	nameFrame = 5
 )
 
 // portBytes is the size of a port behind an IP.
@@ -82,6 +84,8 @@
 		Rollouts        []rollout.Wire
 		OrdersAsOf      uint64
 		Words           []announced.Wire
+		Evacuated       []string
+		EvacuatedAsOf   uint64
 	}
 	wireDigest struct {
 		_          struct{} `cbor:",toarray"`
@@ -123,7 +127,16 @@
 // statusSize bounds the size of a status without its digests, in bytes.
 func statusSize(s shelfshelf.Status) int {
 	return framesSize + loadSize*len(s.Loads) + useSize*(len(s.Uses)+len(s.EndedUses)) + speedSize*len(s.Speeds) +
-		announced.WireSize*len(s.Words) + crashes.WireSize(s.Crashes) + rollout.WireSize(s.Rollouts)
+		namesSize(s.Evacuated.DataCentres) + announced.WireSize*len(s.Words) + crashes.WireSize(s.Crashes) + rollout.WireSize(s.Rollouts)
+}
+
+// namesSize bounds the size of names of data centres, in bytes.
+func namesSize(centres []shelfshelf.DataCentre) int {
+	size := 0
+	for _, centre := range centres {
+		size += nameFrame + len(centre)
+	}
+	return size
 }
 
 // digestSize bounds the size of a digest, in bytes.
@@ -162,6 +175,8 @@
 		Rollouts:        rollout.ToWire(s.Rollouts),
 		OrdersAsOf:      s.OrdersAsOf,
 		Words:           announced.ToWire(s.Words),
+		Evacuated:       namesToWire(s.Evacuated.DataCentres),
+		EvacuatedAsOf:   s.Evacuated.AsOf,
 	}
 	for _, digest := range s.Digests {
 		wire.Digests = append(wire.Digests, wireDigest{
@@ -215,6 +230,7 @@
 			Rollouts:       rollout.FromWire(wire.Rollouts),
 			OrdersAsOf:     wire.OrdersAsOf,
 			Words:          announced.FromWire(wire.Words),
+			Evacuated:      shelfshelf.Evacuated{DataCentres: namesFromWire(wire.Evacuated), AsOf: wire.EvacuatedAsOf},
 		},
 		stamp:           time.Duration(wire.Stamp),
 		echo:            time.Duration(wire.Echo),
@@ -235,6 +251,22 @@
 	return m, nil
 }
 
+func namesToWire(centres []shelfshelf.DataCentre) []string {
+	var names []string
+	for _, centre := range centres {
+		names = append(names, string(centre))
+	}
+	return names
+}
+
+func namesFromWire(names []string) []shelfshelf.DataCentre {
+	var centres []shelfshelf.DataCentre
+	for _, name := range names {
+		centres = append(centres, shelfshelf.DataCentre(name))
+	}
+	return centres
+}
+
 func membersToWire(members []shelfshelf.Member) []wireMember {
 	wire := make([]wireMember, len(members))
 	for i, member := range members {
--- a/node/build.go
+++ b/node/build.go
@@ -11,6 +11,7 @@
 	"github.com/shelfshelf/shelfshelf/balance"
 	"github.com/shelfshelf/shelfshelf/catalog"
 	"github.com/shelfshelf/shelfshelf/crashes"
+	"github.com/shelfshelf/shelfshelf/evacuation"
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
 	"github.com/shelfshelf/shelfshelf/quota"
@@ -26,8 +27,9 @@
 		Clock: n.Clock, Log: n.Log.WithPrefix("rollout"), Bounds: rollout.Bounds(n.Settings.Rollout),
 		Instances: n.instances, Changed: n.rolloutChanged,
 	}
+	n.evacuations = &evacuation.Record{Clock: n.Clock, Log: n.Log.WithPrefix("evacuation"), Changed: n.evacuated}
 	n.catalog = &catalog.Catalog{
-		Ordered: n.ordered, Returned: n.storeReturned,
+		Ordered: n.ordered, Evacuations: n.evacuations.Read, Returned: n.storeReturned,
 		Clock: n.Clock, Log: n.Log.WithPrefix("catalog"), Source: n.Platform.Catalog,
 		Follow: n.follow, Begin: n.readsAtStart, Pace: n.pace, Changed: n.changed,
 		ConfirmPeriod: func() time.Duration { return n.leaseShare(confirmShare) },
@@ -93,6 +95,7 @@
 	n.witness = &crashes.Witness{
 		Clock: n.Clock, Log: logger, Record: n.crashes, Reach: n.upstream.Reach, Target: n.target,
 	}
+	n.metrics.Gauge("shelf_data_centres_evacuated", func() float64 { return float64(n.evacuations.Evacuated()) })
 	n.metrics.Gauge("shelf_targets_limited", func() float64 { return float64(n.words.Limited()) })
 	n.metrics.Gauge("shelf_targets_leaving", func() float64 { return float64(n.words.Leaving()) })
 	n.metrics.Gauge("shelf_targets_resting", func() float64 { return float64(n.words.Resting()) })
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -45,6 +45,7 @@
 		Words:       n.words.Told(),
 	}
 	status.Rollouts, status.OrdersAsOf = n.rollouts.Told()
+	status.Evacuated = n.evacuations.Told()
 	if index, at := n.catalog.Index(); index != nil {
 		status.Revision = index.Revision
 		status.RevisionAge = now.Sub(at)
@@ -87,6 +88,7 @@
 	}
 	n.words.Heard(status.Words)
 	n.rollouts.Heard(status.Rollouts, status.OrdersAsOf, string(status.From.ID))
+	n.evacuations.Heard(status.Evacuated, string(status.From.ID))
 	n.crashes.Heard(status.Crashes, status.From.DataCentre != n.Settings.DataCentre)
 	n.crashKeeper.Heard(status.From, status.CrashesHash)
 	n.relay.Heard(status, at)
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/shelfshelf/shelfshelf/balance"
 	"github.com/shelfshelf/shelfshelf/catalog"
 	"github.com/shelfshelf/shelfshelf/crashes"
+	"github.com/shelfshelf/shelfshelf/evacuation"
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
 	"github.com/shelfshelf/shelfshelf/places"
@@ -90,7 +91,9 @@
 	balancer *balance.Balancer
 	places   *places.Client
 	// words is what targets have said of themselves.
-	words       *announced.Record
+	words *announced.Record
+	// evacuations are the data centres whose targets are to get nothing new.
+	evacuations *evacuation.Record
 	gossip      *gossip.Node
 	relay       *relay.Relay
 	quota       *quota.Ledger
@@ -209,7 +212,7 @@
 func (n *Node) fit() bool {
 	index, at := n.catalog.Index()
 	_, targetsAt := n.catalog.TargetsKnown()
-	known := index != nil && n.Clock.Now().Sub(at) < n.leaseShare(readyShare) && !targetsAt.IsZero()
+	known := index != nil && n.evacuations.Known() && n.Clock.Now().Sub(at) < n.leaseShare(readyShare) && !targetsAt.IsZero()
 	return known && !n.stopping.Load() && !n.crowd.Full()
 }
 
--- a/status.go
+++ b/status.go
@@ -47,6 +47,8 @@
 	// when the store stood at OrdersAsOf.
 	Rollouts   []Rollout
 	OrdersAsOf uint64
+	// Evacuated is which data centres are evacuated, as far as the sender knows.
+	Evacuated Evacuated
 	// Digests are the words of other data centres that the sender has had since its
 	// last status.
 	Digests []Digest
