balance, places: targets that may turn cold get no more than a cold one bears

It may turn cold at any moment and says so only in its entry and its health answers, so that where the configuration says what a cold target bears (ColdPerS), no target of the pool ever gets more than ColdPerS x ColdExcess in any second, which its owner sees to with the gate that limits of targets have; no instance takes a place there by itself. Where it may be cold by what is known (a start seen here, its entry, the end of an evacuation, silence, or an instance that has just started itself and can't know), it gets ColdPerS, and only its first owner is asked, however silent. A new owner begins with one send: with an empty gate 5 of 324 plain calls were refused as the first ones waited 83 ms (seen in the new test). Asks that wait before a gate get their places as it opens, not with the next event.

A caller of the tests' own that has left is not counted as refused (its context was over at 14.9 of its 15 ms).

Tests: node: TestTargetsThatMayTurnColdAreSpared (6, 85, 300 instances; without the pace up to 27 of 23), TestColdTargetsAreSparedThroughFaults.

--- a/announced/gate.go
+++ b/announced/gate.go
@@ -27,9 +27,9 @@
 	at    time.Time
 }
 
-// NewGate returns an empty gate that is closed.
-func NewGate(now time.Time) *Gate {
-	return &Gate{at: now}
+// NewGate returns a gate of a rate that is empty but for the first sends.
+func NewGate(rate, first float64, now time.Time) *Gate {
+	return &Gate{rate: rate, sends: first, at: now}
 }
 
 // SetRate sets how many sends a second there are; 0 closes the gate, which is empty then.
--- a/announced/gate_test.go
+++ b/announced/gate_test.go
@@ -16,7 +16,7 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		random := rand.New(rand.NewPCG(seed, 1))
 		now := time.Unix(100, 0)
-		gate := NewGate(now)
+		gate := NewGate(0, 0, now)
 		var given []time.Time
 		for range 600 {
 			now = now.Add(time.Duration(random.ExpFloat64() * float64(20*time.Millisecond)))
@@ -56,7 +56,7 @@
 func checkOpening(t rapid.TB, rate float64) {
 	t.Helper()
 	now := time.Unix(100, 0)
-	gate := NewGate(now)
+	gate := NewGate(0, 0, now)
 	gate.SetRate(rate, now)
 	for range 20 {
 		left := gate.Left(now)
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -84,6 +84,8 @@
 	Places shelfshelf.Places
 	// Rollouts says which versions of targets requests go to; nil means any.
 	Rollouts shelfshelf.Rollouts
+	// Cold bounds what targets get that may be cold.
+	Cold ColdBounds
 	// Announced knows what targets have said of themselves; nil means nothing. Those with a
 	// limit get only what their owners give, so that without Places they get nothing.
 	Announced shelfshelf.Announcements
@@ -142,6 +144,7 @@
 	gone := make(map[shelfshelf.TargetName]bool)
 	for _, target := range targets {
 		state := old[target.Name]
+		began := false
 		if state != nil && !state.target.SameLife(target) {
 			gone[target.Name] = true
 			state = nil
@@ -151,6 +154,10 @@
 				peers:   make(map[shelfshelf.InstanceID]toldLoad),
 				remotes: make(map[shelfshelf.DataCentre]toldLoad),
 			}
+			began = true
+		}
+		if p := b.pools[target.Pool]; p != nil {
+			b.setCold(state, p, target, began, now)
 		}
 		state.target = target
 		state.slots = max(target.Slots, 1)
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -104,10 +104,10 @@
 	return home && !t.evacuated && !t.target.Leaving && !slices.Contains(need.Avoid, t.target.Name) && allowed(need.choice, t)
 }
 
-// usable reports that a target may get this request now without an owner's word, as none with
-// a limit may: 85 instances that send one each within 4 s are 85.
+// usable reports that a target may get this request now without an owner's word, as none that is
+// paced may: 85 instances that send one each within 4 s are 85.
 func (t *targetState) usable(need Need, now time.Time) bool {
-	return !t.limited() && t.open(need, now) && t.load(now).requests < t.places(need)
+	return !t.paced() && t.open(need, now) && t.load(now).requests < t.places(need)
 }
 
 // places is how many requests a target may have with this one. An engine keeps some for
--- a/balance/evacuated.go
+++ b/balance/evacuated.go
@@ -11,9 +11,14 @@
 func (b *Balancer) SetEvacuated(centres []shelfshelf.DataCentre) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.Clock.Now()
 	b.evacuated = centres
 	for _, t := range b.targets {
+		before := t.evacuated
 		t.evacuated = slices.Contains(centres, t.target.DataCentre)
+		if p := b.pools[t.target.Pool]; p != nil && before && !t.evacuated {
+			t.suspectCold(p, now)
+		}
 	}
-	b.pumpAll(b.Clock.Now())
+	b.pumpAll(now)
 }
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -126,6 +126,7 @@
 			l.state.noteGone(now)
 		case result.Unreachable:
 			l.state.noteUnreachable(now)
+			b.suspectAfterRest(l, now)
 		case !result.Failed:
 			l.state.noteReached()
 			l.observeEnd(now, result)
--- a/balance/limited.go
+++ b/balance/limited.go
@@ -61,7 +61,7 @@
 	t.said = b.Announced.Said(t.key)
 	// The entry may say it later than the target's answers, or never while the store is away.
 	t.target.Leaving = t.target.Leaving || t.said.Leaving
-	if !t.limited() {
+	if !t.paced() {
 		t.pacedUntil = time.Time{}
 	}
 }
@@ -126,8 +126,8 @@
 	only = true
 	for _, t := range p.targets {
 		if t.fits(a.need) {
-			some = some || t.limited()
-			only = only && t.limited()
+			some = some || t.paced()
+			only = only && t.paced()
 		}
 	}
 	return some, some && only
@@ -155,14 +155,14 @@
 	safe := time.Duration(safeShare * float64(a.need.Goal))
 	best := a.chooseFrom(func(t *targetState, now time.Time) bool {
 		b := a.balancer
-		return t.limited() && !slices.Contains(a.tried, t) && b.cost(b.pools[a.need.Pool], t, a.need, now) <= safe
+		return t.paced() && !slices.Contains(a.tried, t) && b.cost(b.pools[a.need.Pool], t, a.need, now) <= safe
 	})
 	if best == nil {
 		best = a.chooseFrom(func(t *targetState, now time.Time) bool {
-			return (t.limited() || t.usable(a.need, now)) && !slices.Contains(a.tried, t)
+			return (t.paced() || t.usable(a.need, now)) && !slices.Contains(a.tried, t)
 		})
 	}
-	if best == nil || !best.limited() {
+	if best == nil || !best.paced() {
 		return nil
 	}
 	a.tried = append(a.tried, best)
@@ -171,7 +171,13 @@
 
 // chooseLimited returns the best target with a limit that the request does not wait for yet.
 func (a *asking) chooseLimited() *targetState {
-	return a.try(func(t *targetState) bool { return t.limited() && !a.waitsAt(t) })
+	return a.try(func(t *targetState) bool { return a.asksAgain(t) })
+}
+
+// asksAgain reports that a waiting request asks for a place at a target once there may be room: of
+// targets that are paced all the time it stands in the lines of some, where there is one.
+func (a *asking) asksAgain(t *targetState) bool {
+	return (t.limited() || t.paced() && len(a.waits) == 0) && !a.waitsAt(t)
 }
 
 func (a *asking) waitsAt(t *targetState) bool {
@@ -215,7 +221,7 @@
 		return soonest
 	}
 	for _, t := range p.targets {
-		if !t.limited() || !t.fits(a.need) || a.waitsAt(t) {
+		if !a.asksAgain(t) || !t.fits(a.need) {
 			continue
 		}
 		at := t.openAt()
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -122,6 +122,7 @@
 			Stay:       p.expectStay(best, a.need, b.unread(best, a.need, now), now),
 			Wait:       max(a.need.WaitUntil.Sub(now), 0),
 			Said:       best.said,
+			Strict:     best.strict(now),
 		}
 	}
 	return best
@@ -142,7 +143,7 @@
 		a.waits[answer.ID] = t
 		return nil
 	case shelfshelf.PlaceUnanswered:
-		if a.next.Said.Limit.Named {
+		if a.next.Strict {
 			return a.passBy(t, answer.ID)
 		}
 		a.waits[answer.ID] = t
@@ -154,7 +155,7 @@
 		b.hearRest(t, answer.Rest)
 		return nil
 	case shelfshelf.PlaceUnknown:
-		if a.next.Said.Limit.Named {
+		if t.paced() {
 			return a.passBy(t, answer.ID)
 		}
 	}
@@ -252,7 +253,7 @@
 	defer b.mu.Unlock()
 	until := b.Clock.Now().Add(left)
 	switch {
-	case t.limited():
+	case t.paced():
 		t.pacedUntil = until
 	case until.After(t.restUntil):
 		t.restUntil = until
--- a/balance/target.go
+++ b/balance/target.go
@@ -78,6 +78,10 @@
 	// restUntil keeps new work away after the target could not be reached.
 	restUntil time.Time
 	rest      time.Duration
+	// bears is how many requests a second the target bears while it is cold, 0 if any number, and
+	// coldUntil until when it may be cold by what is known here.
+	bears     float64
+	coldUntil time.Time
 	// said is what the target has said of itself, and pacedUntil keeps its owner from being asked
 	// again before its limit allows another request.
 	said       shelfshelf.TargetWord
--- a/bundle.go
+++ b/bundle.go
@@ -62,6 +62,16 @@
 	Role string
 	// Engine describes the pool's engines; nil for plain services.
 	Engine *EngineSpec
+	// Cold is what its targets bear while they are cold; they never are if it is zero.
+	Cold ColdSpec
+}
+
+// ColdSpec describes targets that are cold: slow, and soon overwhelmed.
+type ColdSpec struct {
+	// Time is how long a target is cold after it has started.
+	Time time.Duration
+	// PerSecond is how many requests a second it bears then; 0 if it bears any number.
+	PerSecond float64
 }
 
 // EngineSpec describes a pool's engines.
@@ -178,6 +188,8 @@
 	Born time.Time
 	// Version is the software that the target runs; empty if it doesn't tell.
 	Version TargetVersion
+	// ColdFor is how much longer the target was cold when it wrote its entry.
+	ColdFor time.Duration
 	// Slots is how many requests the target works on at once.
 	Slots int
 	// PrefillRate is the declared speed of reading prompts, in tokens a second.
--- a/node/limited_test.go
+++ b/node/limited_test.go
@@ -179,7 +179,7 @@
 		_ = response.Body.Close()
 		status = fmt.Sprint(response.StatusCode)
 	}
-	if leaves && err != nil || p.isAway(at) || wasAway {
+	if leaves && (err != nil || ctx.Err() != nil) || p.isAway(at) || wasAway {
 		status = "left"
 	}
 	p.mu.Lock()
--- a/node/places.go
+++ b/node/places.go
@@ -41,19 +41,32 @@
 // takes none: only an answer says that the limit is over.
 const leastPace = 0.2
 
-// pacing returns how many requests a second this instance may give a target with a limit. Only
-// its owner gives any; and as much of the limit as it hears of its data centre, so that the
-// parts of one that is cut, each with an owner, don't give more together.
-func (n *Node) pacing(key shelfshelf.TargetKey) (perSecond float64, limited bool) {
+// coldFirst is how many requests the owner of a target that may be cold gives at once as it begins.
+const coldFirst = 1
+
+// pacing returns how many requests a second this instance may give a target that has announced a limit
+// or may be cold. Only its owner gives any, unless the target is thought to be warm; and as much of
+// the whole as it hears of its data centre, so that the parts of one that is cut, each with an
+// owner, don't give more together.
+func (n *Node) pacing(key shelfshelf.TargetKey) places.Pace {
 	told := n.words.Said(key)
-	if !told.Limit.Named {
-		return 0, false
+	perSecond, cold, paced := n.balancer.ColdPace(key)
+	pace := places.Pace{Paced: true, PerSecond: perSecond, First: coldFirst}
+	switch {
+	case !told.Limit.Named && !paced:
+		return places.Pace{}
+	case told.Limit.Named && paced:
+		pace = places.Pace{Paced: true, PerSecond: min(perSecond, told.Limit.PerSecond)}
+	case told.Limit.Named:
+		pace = places.Pace{Paced: true, PerSecond: told.Limit.PerSecond}
 	}
 	centre, known := n.balancer.Where(key)
-	if !known || !n.places.Owns(key, centre) {
-		return 0, true
+	strict := told.Limit.Named || cold
+	if !known || strict && !n.places.Owns(key, centre) {
+		return places.Pace{Paced: true}
 	}
-	return max(told.Limit.PerSecond*n.gossip.HeardShare(), leastPace), true
+	pace.PerSecond = max(pace.PerSecond*n.gossip.HeardShare(), leastPace)
+	return pace
 }
 
 // target returns a listed target as it stands, by its entry and by what it has said itself.
--- a/places.go
+++ b/places.go
@@ -44,6 +44,8 @@
 	// Said is what the asker knows that the target has said: its owner, and no other instance,
 	// gives the places of a target with a limit, which it may not have heard of yet.
 	Said TargetWord
+	// Strict says that only the target's first owner is asked, however silent it is; it isn't sent.
+	Strict bool
 }
 
 const (
--- a/places/book.go
+++ b/places/book.go
@@ -37,16 +37,25 @@
 	Told int
 }
 
+// Pace is how many requests a second an owner may give an engine.
+type Pace struct {
+	// Paced says that it isn't any number.
+	Paced bool
+	// PerSecond is how many, 0 if the engine is another instance's to give.
+	PerSecond float64
+	// First is how many an owner may give at once that has just begun to keep the engine's book: the
+	// one before may have given as many just now.
+	First float64
+}
+
 // Book keeps the places of the engines that this instance owns. Fields are set before
 // use. It is safe for concurrent use.
 type Book struct {
 	Clock shelfshelf.Clock
 	// Capacity returns what is known of an engine; false if it is unknown here.
 	Capacity func(shelfshelf.TargetKey) (Capacity, bool)
-	// Pace returns how many requests a second this instance may give an engine that has
-	// announced a limit, 0 if that is another one's to do; false if it has announced none. Nil
-	// means that none has.
-	Pace func(shelfshelf.TargetKey) (perSecond float64, limited bool)
+	// Pace returns how many requests a second this instance may give an engine; nil means any number.
+	Pace func(shelfshelf.TargetKey) Pace
 	// Grant tells a holder that an ask of its has left the line; it is called outside
 	// locks.
 	Grant func(holder Holder, id shelfshelf.PlaceID, requests int)
@@ -54,6 +63,10 @@
 	mu      sync.Mutex
 	engines map[shelfshelf.TargetKey]*engine
 	heard   map[Holder]time.Time
+	// opening is when the first gate opens before which asks wait, zero if none does; opens tells
+	// of a new one.
+	opening time.Time
+	opens   chan struct{}
 	// where tells at which engine a place is held or asked for.
 	where map[placeKey]shelfshelf.TargetKey
 }
@@ -66,7 +79,7 @@
 	// lengths is how well asks of each length were served lately.
 	lengths lengths
 	rest    rest
-	// gate gives out the sends of an engine that has announced a limit, else it is nil.
+	// gate gives out the sends of an engine that is paced, else it is nil.
 	gate *announced.Gate
 }
 
@@ -281,6 +294,9 @@
 	for len(e.line) > 0 {
 		at := e.lengths.next(e.line, now)
 		w := e.line[at]
+		if e.gate != nil {
+			b.awaitGate(now, e.gate.Left(now))
+		}
 		if !known || e.closed(now) > 0 || e.free(capacity, w.ask, now) <= 0 {
 			return grants
 		}
@@ -296,20 +312,64 @@
 	return grants
 }
 
-// pace opens or closes the gate of an engine that has announced a limit; the lock is held.
+// awaitGate notes that asks wait for a gate that opens after a time; the lock is held.
+func (b *Book) awaitGate(now time.Time, left time.Duration) {
+	at := now.Add(left)
+	if left <= 0 || !b.opening.IsZero() && !at.Before(b.opening) {
+		return
+	}
+	b.opening = at
+	select {
+	case b.opened() <- struct{}{}:
+	default:
+	}
+}
+
+// opened returns the channel that tells of a new opening; the lock is held.
+func (b *Book) opened() chan struct{} {
+	if b.opens == nil {
+		b.opens = make(chan struct{}, 1)
+	}
+	return b.opens
+}
+
+// Opening returns when the first gate opens before which asks wait, zero if none does, and a channel
+// that tells of an earlier one.
+func (b *Book) Opening() (time.Time, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.opening, b.opened()
+}
+
+// Open gives places to the asks that wait before gates which have opened.
+func (b *Book) Open() {
+	b.mu.Lock()
+	now := b.Clock.Now()
+	b.opening = time.Time{}
+	var grants []grant
+	for target, e := range b.engines {
+		if e.gate != nil && len(e.line) > 0 {
+			grants = append(grants, b.advance(target, e, now)...)
+		}
+	}
+	b.mu.Unlock()
+	b.tell(grants)
+}
+
+// pace opens or closes the gate of an engine that is paced; the lock is held.
 func (b *Book) pace(target shelfshelf.TargetKey, e *engine, now time.Time) {
 	if b.Pace == nil {
 		return
 	}
-	perSecond, limited := b.Pace(target)
-	if !limited {
+	pace := b.Pace(target)
+	if !pace.Paced {
 		e.gate = nil
 		return
 	}
 	if e.gate == nil {
-		e.gate = announced.NewGate(now)
+		e.gate = announced.NewGate(pace.PerSecond, pace.First, now)
 	}
-	e.gate.SetRate(perSecond, now)
+	e.gate.SetRate(pace.PerSecond, now)
 }
 
 // closed returns how long the engine gets nothing yet, since it rests or has had what its limit
--- a/places/client.go
+++ b/places/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
 
 	"github.com/shelfshelf/shelfshelf"
 )
@@ -298,7 +299,29 @@
 // Run repeats what this instance holds, and frees what silent holders had, until the
 // context ends.
 func (c *Client) Run(ctx context.Context) error {
-	return c.loopSync(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	var group run.Group
+	group.Add(func() error { return c.loopSync(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return c.loopOpen(ctx) }, func(error) { cancel() })
+	return group.Run()
+}
+
+// loopOpen gives out the places of engines whose gates open while asks wait before them.
+func (c *Client) loopOpen(ctx context.Context) error {
+	for {
+		at, sooner := c.Book.Opening()
+		var open <-chan time.Time
+		if !at.IsZero() {
+			open = c.Clock.After(at.Sub(c.Clock.Now()))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-sooner:
+		case <-open:
+			c.Book.Open()
+		}
+	}
 }
 
 func (c *Client) loopSync(ctx context.Context) error {
--- a/places/owner.go
+++ b/places/owner.go
@@ -20,10 +20,10 @@
 )
 
 // ownerFor returns whom to ask for a place: the instance that owns the engine, among those
-// that answer. Where the target has a limit only its owner is asked, however silent it is: the
-// next one would give out as many sends again.
+// that answer. Where the target has a limit, or may be cold, only its first owner is asked, however
+// silent it is: the next one would give out as many sends again.
 func (c *Client) ownerFor(ask shelfshelf.PlaceAsk) (netip.AddrPort, bool) {
-	if ask.Said.Limit.Named {
+	if ask.Strict || ask.Said.Limit.Named {
 		return c.trueOwner(ask.Target, ask.DataCentre)
 	}
 	return c.owner(ask.Target, ask.DataCentre)
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -52,6 +52,8 @@
 		// BornMillis is a Unix time in milliseconds; 0 where it is not known.
 		BornMillis int64
 		Version    string
+		// ColdFor is in nanoseconds.
+		ColdFor int64
 	}
 )
 
@@ -119,6 +121,7 @@
 			KeptFor:    keptFor(snapshot.KeptUntil[target.Name], now),
 			BornMillis: bornMillis(target.Born),
 			Version:    string(target.Version),
+			ColdFor:    int64(target.ColdFor),
 		})
 	}
 	content, err := cbor.Marshal(wire)
@@ -170,6 +173,7 @@
 			Slots:      target.Slots,
 			Born:       bornFromMillis(target.BornMillis),
 			Version:    shelfshelf.TargetVersion(target.Version),
+			ColdFor:    time.Duration(target.ColdFor),
 		})
 	}
 	return snapshot, nil
--- a/settings/node.go
+++ b/settings/node.go
@@ -29,6 +29,8 @@
 	// show anything at all.
 	defaultRolloutShare = 0.1
 	defaultRolloutSlack = 50
+	// A target is not sent more than it says that it bears.
+	defaultColdExcess = 1
 )
 
 // Node is shelfnode's settings.
@@ -58,6 +60,8 @@
 	Retry retrybudget.Limits
 	// Quota is how customers' limits are counted.
 	Quota Quota
+	// Cold bounds what a target gets that may be cold, over all instances together.
+	Cold Cold
 	// Rollout bounds what a new version of a pool's targets gets before it has proved itself.
 	Rollout Rollout
 }
@@ -70,6 +74,12 @@
 	Slack float64
 }
 
+// Cold bounds what a target gets that may be cold.
+type Cold struct {
+	// Excess times what a cold target bears is the most that it may get in a second.
+	Excess float64
+}
+
 // Quota is how customers' limits are counted.
 type Quota struct {
 	// Window is the span that limits count in; 0 means the default.
@@ -83,6 +93,10 @@
 	Slack float64 `json:"slack"`
 }
 
+type wireCold struct {
+	Excess float64 `json:"excess"`
+}
+
 type wireQuota struct {
 	Window string  `json:"window"`
 	Slack  float64 `json:"slack"`
@@ -107,6 +121,7 @@
 	Quota       *wireQuota `json:"quota"`
 
 	Rollout *wireRollout `json:"rollout"`
+	Cold    *wireCold    `json:"cold"`
 }
 
 // regions are the regions of data centres.
@@ -175,5 +190,9 @@
 	if wire.Rollout != nil {
 		node.Rollout = Rollout{Share: wire.Rollout.Share, Slack: wire.Rollout.Slack}
 	}
+	node.Cold = Cold{Excess: defaultColdExcess}
+	if wire.Cold != nil {
+		node.Cold = Cold{Excess: wire.Cold.Excess}
+	}
 	return node, nil
 }
