gateway: what is held for callers that read or send slowly is bounded

A caller that reads nothing kept its request, and what it was to be sent, in memory for as long as its connection stood; and bodies of all callers together had no bound: 2,000 connections of 4 MB before 184 MB. Writes end 2 s after the request's deadline; bodies are held up to a fifth of the memory over all requests, what is beyond is refused as not run, and answers that are there count too, so that the next bodies make room. shelf_held_bytes tells.

Not bounded: one event of a stream may have 1 MB, as before.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -90,6 +90,9 @@
 	}
 	answer, err := readPlain(response)
 	response.Close()
+	if answer != nil {
+		c.holdAnswer(int64(len(answer.body)))
+	}
 	if err != nil {
 		return nil, c.plainFailed(lease, began, err)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -57,6 +57,8 @@
 	customer         *shelfshelf.Customer
 	pool             shelfshelf.PoolName
 	body             []byte
+	// held is how many bytes are held for the request.
+	held int64
 	// fingerprint is the same for all tries of this request; 0 until its body is read.
 	fingerprint shelfshelf.Fingerprint
 	tokens      int
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -58,6 +58,9 @@
 	Crashes *crashes.Record
 	Witness *crashes.Witness
 	Metrics *Metrics
+	// MaxHeld bounds what is held of callers' bodies, over all requests, in bytes; 0 means
+	// unbounded.
+	MaxHeld int64
 	// Fit reports that this instance may take connections.
 	Fit func() bool
 
@@ -65,6 +68,7 @@
 	// taken; an older one may miss that a key was revoked.
 	keyLease atomic.Int64
 	inFlight atomic.Int64
+	held     held
 	stopping atomic.Bool
 	refusing atomic.Bool
 }
@@ -100,6 +104,8 @@
 	}
 	c := &request{server: s, writer: w, http: r, arrived: s.Clock.Now()}
 	defer c.finish()
+	defer c.letGo()
+	c.boundWriting(defaultPatience)
 	if refusal := c.admit(); refusal != nil {
 		c.refuse(refusal)
 		return
@@ -190,11 +196,14 @@
 	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return final(http.StatusBadRequest, "the connection takes no deadline")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.http.Body, limit))
+	body, err := io.ReadAll(heldBody{request: c, body: http.MaxBytesReader(c.writer, c.http.Body, limit)})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return final(http.StatusRequestEntityTooLarge, "the body is too large")
 	}
+	if errors.Is(err, errTooMuchHeld) {
+		return notRun(http.StatusServiceUnavailable, err.Error(), heldRetryAfter)
+	}
 	if err != nil {
 		return final(http.StatusBadRequest, "the body broke off")
 	}
@@ -215,6 +224,7 @@
 		patience = min(patience, c.route.Deadline)
 	}
 	c.deadline = c.arrived.Add(patience)
+	c.boundWriting(c.left())
 }
 
 // checkLimit takes the request's tokens from the customer's limit.
--- a/node/build.go
+++ b/node/build.go
@@ -148,7 +148,9 @@
 		},
 		Metrics: n.metrics,
 		Fit:     n.fit,
+		MaxHeld: int64(heldShare * float64(n.Settings.MemoryMB<<20)),
 	}
+	n.metrics.Gauge("shelf_held_bytes", func() float64 { return float64(n.gateway.Held()) })
 	n.metrics.Gauge("shelf_requests_in_flight", func() float64 { return float64(n.gateway.InFlight()) })
 	n.metrics.Gauge("shelf_requests_waiting", func() float64 { return float64(n.balancer.Waiting()) })
 	n.metrics.Gauge("shelf_configuration_age_seconds", func() float64 {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -56,6 +56,8 @@
 	metrics  string
 	// descriptors are how many files and sockets each instance may open.
 	descriptors int
+	// memoryMB is the memory of each instance; 0 means unbounded.
+	memoryMB int
 }
 
 // door lets an instance through to the store, or turns it away.
@@ -187,7 +189,7 @@
 		Settings: &settings.Node{
 			Instance: shelfshelf.InstanceID(fmt.Sprint("n", len(f.nodes))), DataCentre: centre,
 			Callers: n.callers, Ready: n.ready, Peer: n.peer, Store: store.URL, Descriptors: f.descriptors,
-			Metrics: f.metrics, KeyLease: f.keyLease, StopLimit: 8 * time.Second,
+			MemoryMB: f.memoryMB, Metrics: f.metrics, KeyLease: f.keyLease, StopLimit: 8 * time.Second,
 			Retry:   retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 			Rollout: settings.Rollout{Share: exposureShare, Slack: exposureSlack},
 		},
--- a/node/node.go
+++ b/node/node.go
@@ -62,6 +62,9 @@
 	// callersShare is the part of the descriptors that callers may take; the rest is
 	// for targets, instances and files.
 	callersShare = 0.5
+	// heldShare is the part of the memory that bodies may take which are held for callers: a body
+	// that is read takes up to twice its size, and the rest is for what the instance knows.
+	heldShare = 0.2
 	// crowdMargin is how many connections may be new at once while others make room.
 	crowdMargin = 16
 )
