catalog, relay: changes of the list of targets are handed on alone

An instance remembers which targets changed with which version of the list, and answers with those since the version that the other one knows; the whole where that isn't known, as at a start.

Tests: catalog: TestChangesOfTheListComeToTheSame (rapid), TestAChangeOfTheListIsHandedOnAlone (whole lists before).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -90,6 +90,8 @@
 	configurationAt time.Time
 	targetsAt       time.Time
 	targetsVersion  uint64
+	// changes are those of the list that are remembered, the earliest first.
+	changes []listChange
 	// newest is the newest revision that this instance has heard of.
 	newest shelfshelf.Revision
 	// returnedAt is when the source was found to have come back from an older copy, doubted the
--- /dev/null
+++ b/catalog/changes_test.go
@@ -0,0 +1,92 @@
+package catalog_test
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/catalog"
+)
+
+// listed returns what a catalog knows, in an order that can be compared.
+func listed(c *catalog.Catalog) []shelfshelf.Target {
+	targets := c.Targets().Targets
+	slices.SortFunc(targets, func(a, b shelfshelf.Target) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return targets
+}
+
+// Instances that hand changes of the list on, in whatever order and as often as they meet, know the same
+// list in the end as one that gets it whole.
+func TestChangesOfTheListComeToTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		all := make([]*catalog.Catalog, 4)
+		for i := range all {
+			all[i] = &catalog.Catalog{Clock: clock, Log: log.New(io.Discard)}
+		}
+		truth := map[shelfshelf.TargetName]shelfshelf.Target{}
+		version := uint64(1)
+		offer := func(from, to int) {
+			known, _ := all[to].TargetsKnown()
+			all[to].OfferDelta(all[from].TargetsSince(known), "other")
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			clock.Advance(10 * time.Millisecond)
+			switch rapid.SampledFrom([]string{"change", "change", "remove", "hand on", "hand on"}).Draw(t, "step") {
+			case "change":
+				name := shelfshelf.TargetName(fmt.Sprint("t", rapid.IntRange(0, 6).Draw(t, "target")))
+				truth[name] = shelfshelf.Target{Name: name, Slots: rapid.IntRange(1, 9).Draw(t, "slots")}
+			case "remove":
+				delete(truth, shelfshelf.TargetName(fmt.Sprint("t", rapid.IntRange(0, 6).Draw(t, "target"))))
+			case "hand on":
+				offer(rapid.IntRange(0, 3).Draw(t, "from"), rapid.IntRange(0, 3).Draw(t, "to"))
+				continue
+			}
+			version++
+			var targets []shelfshelf.Target
+			for _, target := range truth {
+				targets = append(targets, target)
+			}
+			all[0].OfferTargets(catalog.Snapshot{Targets: targets, Version: version, At: clock.Now()}, "source")
+		}
+		for i := 1; i < len(all); i++ {
+			offer(0, i)
+			if got, want := listed(all[i]), listed(all[0]); !slices.Equal(got, want) {
+				t.Fatalf("%v, not %v", got, want)
+			}
+		}
+	})
+}
+
+// What one change of a list of 3,000 targets hands on has one target, not all.
+func TestAChangeOfTheListIsHandedOnAlone(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	first := &catalog.Catalog{Clock: clock, Log: log.New(io.Discard)}
+	var targets []shelfshelf.Target
+	for i := range 3000 {
+		targets = append(targets, shelfshelf.Target{Name: shelfshelf.TargetName(fmt.Sprint("t", i)), Slots: 8})
+	}
+	first.OfferTargets(catalog.Snapshot{Targets: targets, Version: 5, At: clock.Now()}, "source")
+	changed := slices.Clone(targets[1:])
+	changed[0].Leaving = true
+	clock.Advance(time.Second)
+	first.OfferTargets(catalog.Snapshot{Targets: changed, Version: 7, At: clock.Now()}, "source")
+	for after, want := range map[uint64]struct{ targets, removed int }{5: {1, 1}, 6: {1, 1}, 4: {2999, 0}, 0: {2999, 0}} {
+		delta := first.TargetsSince(after)
+		if len(delta.Targets) != want.targets || len(delta.Removed) != want.removed || delta.Whole != (want.removed == 0) {
+			t.Errorf("after %d: %d changed, %d removed, whole %v", after, len(delta.Targets), len(delta.Removed), delta.Whole)
+		}
+	}
+}
--- a/catalog/targets.go
+++ b/catalog/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -70,6 +71,7 @@
 	}
 	now := c.Clock.Now()
 	returned := c.noteEra(update.Version, now)
+	before := c.targetsVersion
 	var removed []shelfshelf.TargetName
 	for _, name := range candidates {
 		until := time.Time{}
@@ -81,14 +83,19 @@
 		}
 	}
 	var changed []shelfshelf.TargetName
+	var back []shelfshelf.TargetName
 	for _, target := range update.Changed {
 		if old, known := c.targets[target.Name]; !known || old != target {
 			changed = append(changed, target.Name)
 		}
+		if _, vanished := c.vanished[target.Name]; vanished {
+			back = append(back, target.Name)
+		}
 		c.targets[target.Name] = target
 		delete(c.vanished, target.Name)
 	}
 	c.targetsVersion = max(c.targetsVersion, update.Version)
+	c.remember(before, slices.Concat(removed, changed, back))
 	if at.After(c.targetsAt) {
 		c.targetsAt = at
 	}
@@ -241,8 +248,12 @@
 	if !fresh {
 		return
 	}
-	c.Log.Debug("Targets come from another instance.", "from", from, "version", snapshot.Version)
-	update := shelfshelf.TargetsUpdate{Whole: true, Changed: snapshot.Targets, Version: snapshot.Version}
+	c.offer(shelfshelf.TargetsUpdate{Whole: true, Changed: snapshot.Targets, Version: snapshot.Version}, snapshot, from)
+}
+
+// offer applies what another instance has told.
+func (c *Catalog) offer(update shelfshelf.TargetsUpdate, snapshot Snapshot, from string) {
+	c.Log.Debug("Targets come from another instance.", "from", from, "version", snapshot.Version, "whole", update.Whole)
 	c.applyTargets(update, snapshot.At, from, func(shelfshelf.TargetName) time.Time { return time.Time{} })
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -33,6 +34,9 @@
 	LoseWrites int
 	// Deaf makes waiting calls hear of no change.
 	Deaf bool
+	// WritesPerSecond bounds the transactions of one part, which are done one after the other; what would
+	// wait for over a second is turned away. 0 means any number.
+	WritesPerSecond int
 }
 
 // Platform is the platform's store over HTTP, in memory. It is safe for concurrent
@@ -48,6 +52,10 @@
 	calls   int
 	// kinds counts the calls by path and table.
 	kinds map[string]int
+	// writtenAt is when the last write of each part will be done that has come.
+	writtenAt map[string]time.Time
+	// sent counts the bytes of answers.
+	sent atomic.Int64
 }
 
 // NewPlatform returns an empty store.
@@ -172,6 +180,10 @@
 	for _, row := range wire.Remove {
 		writes = append(writes, RowWrite{RowID: row.id(), Remove: true})
 	}
+	if !p.awaitTurn(writes) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	version, failed := p.Rows.Transact(conditions, writes)
 	p.loseWrite()
 	if len(failed) > 0 {
@@ -188,6 +200,37 @@
 	p.answer(w, http.StatusOK, wireRows{SchemaVersion: version})
 }
 
+// awaitTurn waits until the writes of a part before this one are done; false if that would take over
+// a second.
+func (p *Platform) awaitTurn(writes []RowWrite) bool {
+	p.mu.Lock()
+	if p.faults.WritesPerSecond == 0 || len(writes) == 0 {
+		p.mu.Unlock()
+		return true
+	}
+	if p.writtenAt == nil {
+		p.writtenAt = make(map[string]time.Time)
+	}
+	now := p.Clock.Now()
+	part := writes[0].Part
+	at := p.writtenAt[part]
+	if at.Before(now) {
+		at = now
+	}
+	if at.Sub(now) > time.Second {
+		p.mu.Unlock()
+		return false
+	}
+	at = at.Add(time.Second / time.Duration(p.faults.WritesPerSecond))
+	p.writtenAt[part] = at
+	p.mu.Unlock()
+	<-p.Clock.After(at.Sub(now))
+	return true
+}
+
+// Sent returns how many bytes of rows have been sent.
+func (p *Platform) Sent() int64 { return p.sent.Load() }
+
 // loseWrite breaks the connection if this write's answer is to be lost.
 func (p *Platform) loseWrite() {
 	p.mu.Lock()
@@ -261,6 +304,9 @@
 	page.NowMs = p.Clock.Now().Sub(p.started).Milliseconds() + 1
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
+	for _, row := range page.Rows {
+		p.sent.Add(int64(len(row.Value)))
+	}
 	// A caller that is gone needs no answer.
 	_ = json.NewEncoder(w).Encode(page)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,8 @@
 	fetchPause = 100 * time.Millisecond
 	// idleTimeout is how long a connection to another instance is kept unused.
 	idleTimeout = 90 * time.Second
+	// queryAfter holds the version of the list of targets that is known.
+	queryAfter = "after"
 	// maxFetched bounds what is fetched, in bytes.
 	maxFetched = 16 << 20
 )
@@ -93,13 +95,19 @@
 	return mux
 }
 
-func (r *Relay) serveTargets(w http.ResponseWriter, _ *http.Request) {
-	snapshot := r.Catalog.Targets()
-	if snapshot.At.IsZero() {
+// serveTargets answers with what has changed since the version that the other instance knows, or with
+// the whole list.
+func (r *Relay) serveTargets(w http.ResponseWriter, request *http.Request) {
+	after, err := strconv.ParseUint(request.URL.Query().Get(queryAfter), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	delta := r.Catalog.TargetsSince(after)
+	if delta.At.IsZero() {
 		http.Error(w, "no targets are known", http.StatusServiceUnavailable)
 		return
 	}
-	content, err := encodeTargets(snapshot, r.Clock.Now())
+	content, err := encodeTargets(delta, r.Clock.Now())
 	r.write(w, content, err)
 }
 
@@ -202,15 +210,16 @@
 }
 
 func (r *Relay) fetchTargets(ctx context.Context, e *exchange) error {
-	content, err := e.ask(ctx, http.MethodGet, kindTargets, nil)
+	known, _ := r.Catalog.TargetsKnown()
+	content, err := e.ask(ctx, http.MethodGet, kindTargets+"?"+queryAfter+"="+strconv.FormatUint(known, 10), nil)
 	if err != nil {
 		return err
 	}
-	snapshot, err := decodeTargets(content, e.began)
+	delta, err := decodeTargets(content, e.began)
 	if err != nil {
 		return err
 	}
-	r.Catalog.OfferTargets(snapshot, e.address)
+	r.Catalog.OfferDelta(delta, e.address)
 	return nil
 }
 
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -36,7 +36,11 @@
 		_       struct{} `cbor:",toarray"`
 		Age     int64
 		Version uint64
+		// After is the version of the list that Targets and Removed are the changes since; 0 where
+		// Targets are all.
+		After   uint64
 		Targets []wireTarget
+		Removed []string
 	}
 	wireTarget struct {
 		_          struct{} `cbor:",toarray"`
@@ -108,9 +112,12 @@
 	return packed, eris.Wrap(err, "decode parts")
 }
 
-func encodeTargets(snapshot catalog.Snapshot, now time.Time) ([]byte, error) {
-	wire := wireTargets{Age: int64(now.Sub(snapshot.At)), Version: snapshot.Version}
-	for _, target := range snapshot.Targets {
+func encodeTargets(delta catalog.Delta, now time.Time) ([]byte, error) {
+	wire := wireTargets{Age: int64(now.Sub(delta.At)), Version: delta.Version, After: delta.After}
+	for _, name := range delta.Removed {
+		wire.Removed = append(wire.Removed, string(name))
+	}
+	for _, target := range delta.Targets {
 		wire.Targets = append(wire.Targets, wireTarget{
 			Name:       string(target.Name),
 			Pool:       string(target.Pool),
@@ -118,7 +125,7 @@
 			Address:    target.Address,
 			Leaving:    target.Leaving,
 			Slots:      target.Slots,
-			KeptFor:    keptFor(snapshot.KeptUntil[target.Name], now),
+			KeptFor:    keptFor(delta.KeptUntil[target.Name], now),
 			BornMillis: bornMillis(target.Born),
 			Version:    string(target.Version),
 			ColdFor:    int64(target.ColdFor),
@@ -150,21 +157,28 @@
 }
 
 // decodeTargets reads a list whose age counts from when it was asked for.
-func decodeTargets(content []byte, asked time.Time) (catalog.Snapshot, error) {
+func decodeTargets(content []byte, asked time.Time) (catalog.Delta, error) {
 	var wire wireTargets
 	if err := cbor.Unmarshal(content, &wire); err != nil {
-		return catalog.Snapshot{}, eris.Wrap(err, "decode targets")
+		return catalog.Delta{}, eris.Wrap(err, "decode targets")
+	}
+	delta := catalog.Delta{
+		Snapshot: catalog.Snapshot{
+			Version:   wire.Version,
+			At:        asked.Add(-time.Duration(wire.Age)),
+			KeptUntil: make(map[shelfshelf.TargetName]time.Time),
+		},
+		Whole: wire.After == 0,
+		After: wire.After,
 	}
-	snapshot := catalog.Snapshot{
-		Version:   wire.Version,
-		At:        asked.Add(-time.Duration(wire.Age)),
-		KeptUntil: make(map[shelfshelf.TargetName]time.Time),
+	for _, name := range wire.Removed {
+		delta.Removed = append(delta.Removed, shelfshelf.TargetName(name))
 	}
 	for _, target := range wire.Targets {
 		if target.KeptFor > 0 {
-			snapshot.KeptUntil[shelfshelf.TargetName(target.Name)] = asked.Add(time.Duration(target.KeptFor))
+			delta.KeptUntil[shelfshelf.TargetName(target.Name)] = asked.Add(time.Duration(target.KeptFor))
 		}
-		snapshot.Targets = append(snapshot.Targets, shelfshelf.Target{
+		delta.Targets = append(delta.Targets, shelfshelf.Target{
 			Name:       shelfshelf.TargetName(target.Name),
 			Pool:       shelfshelf.PoolName(target.Pool),
 			DataCentre: shelfshelf.DataCentre(target.DataCentre),
@@ -176,5 +190,5 @@
 			ColdFor:    time.Duration(target.ColdFor),
 		})
 	}
-	return snapshot, nil
+	return delta, nil
 }
