--- a/balance/cold.go
+++ b/balance/cold.go
@@ -13,12 +13,21 @@
 	// gateFill is how many times its rate a gate may let through within a second, with what it
 	// has saved up.
 	gateFill = 1.25
+	// coldReserve is the part of the slack that is kept for an owner that takes another one's place.
+	coldReserve = 0.5
 )
 
 // ColdBounds bound what a target gets that may be cold, over all instances together.
 type ColdBounds struct {
-	// Excess times what a cold target bears is the most that it may get.
+	// Excess times what a cold target bears in a second, and Slack more, is the most that it may
+	// get.
 	Excess float64
+	Slack  float64
+}
+
+// warm is the pace of a target that is thought to be warm.
+func (c ColdBounds) warm(bears float64) float64 {
+	return (bears*c.Excess + (1-coldReserve)*c.Slack) / gateFill
 }
 
 // paced reports that only owners give the places of a target: it has announced a limit, or may turn
@@ -66,9 +75,8 @@
 	return b
 }
 
-// ColdPace returns how many requests a second the owner of a target may give, where the target may
-// turn cold, and whether it may be cold by what is known here. Otherwise it has lain idle, and
-// a burst of work that it would have stood when warm is kept from it by the first figure alone.
+// ColdPace returns how many requests a second the owner of a target may give that may turn cold, and
+// whether it may be cold by what is known here; paced is false of one that never is.
 func (b *Balancer) ColdPace(key shelfshelf.TargetKey) (perSecond float64, cold, paced bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -77,7 +85,7 @@
 		return 0, false, false
 	}
 	if b.Clock.Now().Before(t.coldUntil) {
-		return t.bears * min(1, b.Cold.Excess/gateFill), true, true
+		return min(t.bears, b.Cold.warm(t.bears)), true, true
 	}
-	return t.bears * b.Cold.Excess / gateFill, false, true
+	return b.Cold.warm(t.bears), false, true
 }
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -266,7 +266,7 @@
 	}
 	member.Build()
 	announced := shelfshelf.Instance{ID: id, DataCentre: place, Address: member.PeerAddress, State: shelfshelf.InstanceLive}
-	if err := client.Announce(c.ctx, announced); err != nil {
+	if err := client.Announce(c.ctx, "", announced); err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/node/size_test.go
+++ b/node/size_test.go
@@ -153,7 +153,7 @@
 		Log:   log.NewWithOptions(l.log, log.Options{Formatter: log.JSONFormatter, Level: log.InfoLevel}).With("at", fmt.Sprint("n", i)),
 		Settings: &settings.Node{
 			Instance: shelfshelf.InstanceID(fmt.Sprint("n", i)), DataCentre: shelfshelf.DataCentre(centreOf(i)),
-			Regions: regions(), Cold: settings.Cold{Excess: coldExcess},
+			Regions: regions(), Cold: settings.Cold{Excess: coldExcess, Slack: coldSlack},
 			Callers: machineOf(i) + ":80", Ready: machineOf(i) + ":81", Peer: machineOf(i) + ":7600", Store: storeAddress,
 			Descriptors: 4096, LinkMbps: float64(linkOf(i)), FirstStart: first, KeyLease: keyLease, StopLimit: 8 * time.Second,
 			Retry: retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
--- a/settings/node.go
+++ b/settings/node.go
@@ -76,8 +76,9 @@
 
 // Cold bounds what a target gets that may be cold.
 type Cold struct {
-	// Excess times what a cold target bears is the most that it may get in a second.
+	// Excess times what a cold target bears, and Slack more, is the most that it may get in a second.
 	Excess float64
+	Slack  float64
 }
 
 // Quota is how customers' limits are counted.
@@ -95,6 +96,7 @@
 
 type wireCold struct {
 	Excess float64 `json:"excess"`
+	Slack  float64 `json:"slack"`
 }
 
 type wireQuota struct {
@@ -192,7 +194,7 @@
 	}
 	node.Cold = Cold{Excess: defaultColdExcess}
 	if wire.Cold != nil {
-		node.Cold = Cold{Excess: wire.Cold.Excess}
+		node.Cold = Cold{Excess: wire.Cold.Excess, Slack: wire.Cold.Slack}
 	}
 	return node, nil
 }
