--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -143,35 +143,11 @@
 	}
 	gone := make(map[shelfshelf.TargetName]bool)
 	for _, target := range targets {
-		state := old[target.Name]
-		began := false
-		if state != nil && !state.target.SameLife(target) {
+		state, began := stateOf(old[target.Name], target)
+		if began && old[target.Name] != nil {
 			gone[target.Name] = true
-			state = nil
-		}
-		if state == nil {
-			state = &targetState{
-				peers:   make(map[shelfshelf.InstanceID]toldLoad),
-				remotes: make(map[shelfshelf.DataCentre]toldLoad),
-			}
-			began = true
-		}
-		if p := b.pools[target.Pool]; p != nil {
-			b.setCold(state, p, target, began, now)
-		}
-		state.target = target
-		state.slots = max(target.Slots, 1)
-		state.region = b.Regions[target.DataCentre]
-		state.evacuated = slices.Contains(b.evacuated, target.DataCentre)
-		b.targets[target.Name] = state
-		state.key = shelfshelf.KeyOfTarget(target.Name)
-		b.recallWord(state)
-		b.keys[state.key] = state
-		if p := b.pools[target.Pool]; p != nil {
-			state.engine = p.spec.Engine != nil
-			p.targets = append(p.targets, state)
-			p.listed = append(p.listed, state.target)
 		}
+		b.addTarget(state, target, began, now)
 	}
 	for name := range old {
 		if b.targets[name] == nil {
@@ -187,6 +163,39 @@
 	}
 }
 
+// stateOf returns the state of a listed target, a new one where its life began since it was last
+// listed.
+func stateOf(before *targetState, target shelfshelf.Target) (state *targetState, began bool) {
+	if before != nil && before.target.SameLife(target) {
+		return before, false
+	}
+	return &targetState{
+		peers:   make(map[shelfshelf.InstanceID]toldLoad),
+		remotes: make(map[shelfshelf.DataCentre]toldLoad),
+	}, true
+}
+
+// addTarget lists a target as it is now; the lock is held.
+func (b *Balancer) addTarget(state *targetState, target shelfshelf.Target, began bool, now time.Time) {
+	p := b.pools[target.Pool]
+	if p != nil {
+		b.setCold(state, p, target, began, now)
+	}
+	state.target = target
+	state.slots = max(target.Slots, 1)
+	state.region = b.Regions[target.DataCentre]
+	state.evacuated = slices.Contains(b.evacuated, target.DataCentre)
+	b.targets[target.Name] = state
+	state.key = shelfshelf.KeyOfTarget(target.Name)
+	b.recallWord(state)
+	b.keys[state.key] = state
+	if p != nil {
+		state.engine = p.spec.Engine != nil
+		p.targets = append(p.targets, state)
+		p.listed = append(p.listed, state.target)
+	}
+}
+
 // Acquire waits for a place for a request. The error is a *Refusal or the
 // context's.
 func (b *Balancer) Acquire(ctx context.Context, need Need) (*Lease, error) {
