--- a/quota/told.go
+++ b/quota/told.go
@@ -50,8 +50,6 @@
 	before := l.peers[status.From.ID]
 	if before != nil && before.incarnation != status.Incarnation {
 		l.ended = append(l.ended, before)
-	}
-	if before != nil && before.incarnation != status.Incarnation {
 		before = nil
 	}
 	t := l.newTold(before, status.Incarnation, now, status.Settled, status.Uses)
