--- a/node/size_test.go
+++ b/node/size_test.go
@@ -163,6 +163,10 @@
 		},
 		Sockets: machine,
 	}
+	// The test looks into instances that have just started.
+	if err := instance.Open(); err != nil {
+		l.t.Fatal(err)
+	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	ended := make(chan struct{})
 	l.ended.Go(func() {
