catalog: a change is handed on without a look at the whole list

An instance that hands changes on copied all 3,000 targets each time, to pick those that have changed: 0.93 ms and 2.0 MB, up to 187 times a change at the instances that the others ask. Now it looks up the changed ones alone: 0.65 us and 376 bytes (one run each beside nothing, 3,000 targets, one changed; the benchmark has stayed). Targets and TargetsSince pick from one list in one place, under one lock, so that the check that the list was still the same is gone. What is told stays: the tests of before pass unchanged.

--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -41,31 +42,24 @@
 
 // TargetsSince returns what has changed in the list after a version of it.
 func (c *Catalog) TargetsSince(after uint64) Delta {
-	whole := c.Targets()
 	c.mu.Lock()
-	names, known := c.changedSince(after, whole.Version)
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	names, known := c.changedSince(after)
 	if !known {
-		return Delta{Snapshot: whole, Whole: true}
-	}
-	delta := Delta{Snapshot: whole, After: after}
-	delta.Targets = nil
-	for _, target := range whole.Targets {
-		if names[target.Name] {
-			delta.Targets = append(delta.Targets, target)
-			delete(names, target.Name)
-		}
+		return Delta{Snapshot: c.snapshot(maps.Keys(c.targets)), Whole: true}
 	}
-	for name := range names {
-		delta.Removed = append(delta.Removed, name)
+	delta := Delta{Snapshot: c.snapshot(maps.Keys(names)), After: after}
+	for _, target := range delta.Targets {
+		delete(names, target.Name)
 	}
+	delta.Removed = slices.Collect(maps.Keys(names))
 	return delta
 }
 
-// changedSince returns the targets that have changed between two versions of the list, and whether all
-// are known; the lock is held.
-func (c *Catalog) changedSince(after, version uint64) (names map[shelfshelf.TargetName]bool, known bool) {
-	if after == 0 || len(c.changes) == 0 || after < c.changes[0].before || version != c.targetsVersion {
+// changedSince returns the targets that have changed after a version of the list, and whether all are
+// known; the lock is held.
+func (c *Catalog) changedSince(after uint64) (names map[shelfshelf.TargetName]bool, known bool) {
+	if after == 0 || len(c.changes) == 0 || after < c.changes[0].before {
 		return nil, false
 	}
 	names = make(map[shelfshelf.TargetName]bool)
--- a/catalog/changes_test.go
+++ b/catalog/changes_test.go
@@ -74,10 +74,7 @@
 func TestAChangeOfTheListIsHandedOnAlone(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	first := &catalog.Catalog{Clock: clock, Log: log.New(io.Discard)}
-	var targets []shelfshelf.Target
-	for i := range 3000 {
-		targets = append(targets, shelfshelf.Target{Name: shelfshelf.TargetName(fmt.Sprint("t", i)), Slots: 8})
-	}
+	targets := threeThousand()
 	first.OfferTargets(catalog.Snapshot{Targets: targets, Version: 5, At: clock.Now()}, "source")
 	changed := slices.Clone(targets[1:])
 	changed[0].Leaving = true
@@ -90,3 +87,24 @@
 		}
 	}
 }
+
+// What one change of 3,000 targets costs each time that it is handed on.
+func BenchmarkAChangeIsHandedOn(b *testing.B) {
+	clock := clockwork.NewFakeClock()
+	c := &catalog.Catalog{Clock: clock, Log: log.New(io.Discard)}
+	targets := threeThousand()
+	c.OfferTargets(catalog.Snapshot{Targets: targets, Version: 5, At: clock.Now()}, "source")
+	clock.Advance(time.Second)
+	c.OfferTargets(catalog.Snapshot{Targets: targets[1:], Version: 7, At: clock.Now()}, "source")
+	for b.Loop() {
+		c.TargetsSince(5)
+	}
+}
+
+func threeThousand() []shelfshelf.Target {
+	var targets []shelfshelf.Target
+	for i := range 3000 {
+		targets = append(targets, shelfshelf.Target{Name: shelfshelf.TargetName(fmt.Sprint("t", i)), Slots: 8})
+	}
+	return targets
+}
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"iter"
+	"maps"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -30,11 +32,17 @@
 func (c *Catalog) Targets() Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.snapshot(maps.Keys(c.targets))
+}
+
+// snapshot returns those of some targets that may be used or are leaving; the lock is held.
+func (c *Catalog) snapshot(names iter.Seq[shelfshelf.TargetName]) Snapshot {
 	snapshot := Snapshot{Version: c.targetsVersion, At: c.targetsAt, KeptUntil: make(map[shelfshelf.TargetName]time.Time)}
 	now := c.Clock.Now()
-	for name, target := range c.targets {
+	for name := range names {
+		target, listed := c.targets[name]
 		until, vanished := c.vanished[name]
-		if vanished && !now.Before(until) {
+		if !listed || vanished && !now.Before(until) {
 			continue
 		}
 		if vanished {
