gossip: one first instance is asked for the others, and waits and lists have one piece of code each

Three things of the directory in parts were more than they have to be. With one reader at a time the list of first instances was sorted, cut to one and shuffled; now it is the one that goes before all others heard. Three waits were written out beside sleep, and the loop that learns listed instances beside learnAll.

--- a/gossip/directory.go
+++ b/gossip/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -76,9 +77,17 @@
 
 // spread waits for any part of announceSpread, so that not all instances write at once.
 func (n *Node) spread(ctx context.Context) {
+	n.sleep(ctx, time.Duration(rand.Float64()*float64(announceSpread)))
+}
+
+// sleep waits for a time, if it isn't over.
+func (n *Node) sleep(ctx context.Context, span time.Duration) {
+	if span <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
-	case <-n.Clock.After(time.Duration(rand.Float64() * float64(announceSpread))):
+	case <-n.Clock.After(span):
 	}
 }
 
@@ -103,12 +112,9 @@
 // need not be read again for that.
 func (n *Node) announceAgain(ctx context.Context) bool {
 	for retry := firstRetry; ctx.Err() == nil; retry = min(2*retry, lastRetry) {
-		select {
-		case <-ctx.Done():
-		case <-n.Clock.After(jitter(retry)):
-			if n.announce(ctx) {
-				return true
-			}
+		n.sleep(ctx, jitter(retry))
+		if ctx.Err() == nil && n.announce(ctx) {
+			return true
 		}
 	}
 	return false
@@ -135,18 +141,12 @@
 		n.Log.Warn("The directory of instances can't be read.", "dataCentre", centre, "error", err)
 		return false, err
 	}
-	now := n.Clock.Now()
+	n.learnAll(instances)
+	listed = slices.Contains(instances, n.Self)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, instance := range instances {
-		if instance.ID != n.Self.ID {
-			n.learn(instance, now)
-			continue
-		}
-		listed = instance == n.Self
-	}
 	if n.listedAt.IsZero() {
-		n.listedAt = now
+		n.listedAt = n.Clock.Now()
 	}
 	n.Log.Info("The directory of instances was read.", "dataCentre", centre, "instances", len(instances), "listed", listed)
 	return listed, nil
--- a/gossip/others.go
+++ b/gossip/others.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,10 +11,9 @@
 )
 
 const (
-	// directoryReaders is how many instances of a data centre read at once which instances the other
-	// ones have; each next one does so directoryStep later if nobody has told it.
-	directoryReaders = 1
-	directoryStep    = 100 * time.Millisecond
+	// directoryStep is how much later than the first instance of a data centre each next one reads
+	// which instances the other ones have, if nobody has told it.
+	directoryStep = 100 * time.Millisecond
 	// othersWait is when the others are asked for where all start for the first time: most have
 	// announced themselves by then.
 	othersWait = announceSpread + 300*time.Millisecond
@@ -41,7 +39,7 @@
 		n.sleep(ctx, othersWait-n.Clock.Now().Sub(n.start))
 	}
 	for began := n.Clock.Now(); ctx.Err() == nil; n.sleep(ctx, directoryStep) {
-		turn := time.Duration(n.Started().Before/directoryReaders) * directoryStep
+		turn := time.Duration(n.Started().Before) * directoryStep
 		if turn > 0 && n.askForOthers(ctx) {
 			return nil
 		}
@@ -52,17 +50,6 @@
 	return nil
 }
 
-// sleep waits for a time, if it isn't over.
-func (n *Node) sleep(ctx context.Context, span time.Duration) {
-	if span <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-n.Clock.After(span):
-	}
-}
-
 // readOthers reads the other data centres' parts of the directory.
 func (n *Node) readOthers(ctx context.Context) error {
 	for _, centre := range n.Centres {
@@ -77,41 +64,34 @@
 	return nil
 }
 
-// askForOthers asks some instances of this data centre, and reports whether one of them told.
+// askForOthers asks the first of this data centre that is heard, and reports whether it told.
 func (n *Node) askForOthers(ctx context.Context) bool {
-	if n.Fetch == nil {
+	address, heard := n.firstHeard()
+	if n.Fetch == nil || !heard {
 		return false
 	}
-	for _, address := range n.firstHeard() {
-		instances, err := n.Fetch(ctx, address)
-		if err != nil {
-			continue
-		}
-		n.learnAll(instances)
-		n.haveOthers()
-		return true
+	instances, err := n.Fetch(ctx, address)
+	if err != nil {
+		return false
 	}
-	return false
+	n.learnAll(instances)
+	n.haveOthers()
+	return true
 }
 
-// firstHeard returns the addresses of those that read first, as far as they are heard, in any order.
-func (n *Node) firstHeard() []string {
+// firstHeard returns the address of the instance of this data centre that goes before all others that
+// are heard; false if none is.
+func (n *Node) firstHeard() (address string, heard bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Clock.Now()
-	var heard []shelfshelf.Instance
+	var first shelfshelf.Instance
 	for _, p := range n.peers {
-		if n.local(p.instance) && n.fresh(p, now) {
-			heard = append(heard, p.instance)
+		if n.local(p.instance) && n.fresh(p, now) && (!heard || compareInstances(p.instance, first) < 0) {
+			first, heard = p.instance, true
 		}
 	}
-	slices.SortFunc(heard, compareInstances)
-	var addresses []string
-	for _, instance := range heard[:min(len(heard), directoryReaders)] {
-		addresses = append(addresses, instance.Address)
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses
+	return first.Address, heard
 }
 
 // learnAll notes instances that another one knows.
