balance, places: what cold targets may get is worked out once, from the gate's own figures

The balancer held 1.25 as how much a gate lets through within a second, which is the gate's own quarter of a second under another name: with another one there the bound would have been broken unseen. The gate answers that now (announced.RateWithin), and node, which knows settings, gate and owner, works out the pace, where it had a copy of the answer for each of three cases; the balancer only says what a target bears and whether it may be cold. Strict alone says that only the first owner is asked: a limit is part of it. A gate is looked at where asks wait, not before each place. Of two functions that return the later of two instants, and a loop that did the same, one is left (shelfshelf.Later). What was named limited and is true of all paced targets is named so.

--- a/announced/gate.go
+++ b/announced/gate.go
@@ -27,6 +27,12 @@
 	at    time.Time
 }
 
+// RateWithin returns the rate at which a gate lets through at most so many sends within any second, those
+// that it has kept included.
+func RateWithin(sends float64) float64 {
+	return sends / (1 + burstTime.Seconds())
+}
+
 // NewGate returns a gate of a rate that is empty but for the first sends.
 func NewGate(rate, first float64, now time.Time) *Gate {
 	return &Gate{rate: rate, sends: first, at: now}
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -84,8 +84,6 @@
 	Places shelfshelf.Places
 	// Rollouts says which versions of targets requests go to; nil means any.
 	Rollouts shelfshelf.Rollouts
-	// Cold bounds what targets get that may be cold.
-	Cold ColdBounds
 	// Announced knows what targets have said of themselves; nil means nothing. Those with a
 	// limit get only what their owners give, so that without Places they get nothing.
 	Announced shelfshelf.Announcements
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -89,13 +89,7 @@
 
 // openAt returns when the target takes requests again, as far as is known.
 func (t *targetState) openAt() time.Time {
-	at := t.restUntil
-	for _, other := range []time.Time{t.pacedUntil, t.said.RestUntil} {
-		if other.After(at) {
-			at = other
-		}
-	}
-	return at
+	return shelfshelf.Later(t.restUntil, shelfshelf.Later(t.pacedUntil, t.said.RestUntil))
 }
 
 // fits reports that a target may ever get this request.
--- a/balance/limited.go
+++ b/balance/limited.go
@@ -77,15 +77,15 @@
 }
 
 // acquirePlain waits for a place at a plain service. Its targets need no owner but for those
-// with a limit, which is kept by one instance for all.
+// that are paced, by one instance for all.
 func (b *Balancer) acquirePlain(ctx context.Context, need Need) (lease *Lease, err error) {
 	a := b.newAsking(need)
-	some, only := a.limits()
+	some, only := a.paces()
 	if !some {
 		return b.acquireAlone(ctx, need)
 	}
 	defer func() { a.leaveLines(lease != nil) }()
-	lease = a.askWhile(ctx, a.chooseIfLimited)
+	lease = a.askWhile(ctx, a.chooseIfPaced)
 	switch {
 	case lease != nil:
 		return lease, nil
@@ -97,25 +97,25 @@
 	return b.acquireAlone(ctx, need)
 }
 
-// onlyLimited reports that all targets that the request may go to have a limit.
-func (a *asking) onlyLimited() bool {
-	_, only := a.limits()
+// onlyPaced reports that all targets that the request may go to are paced.
+func (a *asking) onlyPaced() bool {
+	_, only := a.paces()
 	return only
 }
 
-// retryAfter is when a refused caller may come back: not before a target with a limit has room
+// retryAfter is when a refused caller may come back: not before a target that is paced has room
 // again where the request may go to no other.
 func (a *asking) retryAfter() time.Duration {
 	after := a.balancer.comeBack(a.need)
-	if !a.onlyLimited() {
+	if !a.onlyPaced() {
 		return after
 	}
 	return max(after, min(a.untilRoom(), longestRetryAfter))
 }
 
-// limits reports whether some, and whether all, of the targets that the request may go to have
-// a limit.
-func (a *asking) limits() (some, only bool) {
+// paces reports whether some, and whether all, of the targets that the request may go to are
+// paced.
+func (a *asking) paces() (some, only bool) {
 	b := a.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -147,11 +147,11 @@
 	return nil
 }
 
-// chooseIfLimited returns a target of a plain service with a limit that does well enough for
-// the request, else the best target if it is one with a limit. Those that do well enough go
+// chooseIfPaced returns a paced target of a plain service that does well enough for
+// the request, else the best target if it is a paced one. Those that do well enough go
 // first: one of 36 instances hears of a target of 1.5 a second every 24 s, so that a single
 // slow answer kept it from its due (2 to 4 of 12 requests, simulated).
-func (a *asking) chooseIfLimited() *targetState {
+func (a *asking) chooseIfPaced() *targetState {
 	safe := time.Duration(safeShare * float64(a.need.Goal))
 	best := a.chooseFrom(func(t *targetState, now time.Time) bool {
 		b := a.balancer
@@ -169,13 +169,13 @@
 	return best
 }
 
-// chooseLimited returns the best target with a limit that the request does not wait for yet.
-func (a *asking) chooseLimited() *targetState {
+// choosePaced returns the best of the paced targets that a waiting request asks.
+func (a *asking) choosePaced() *targetState {
 	return a.try(func(t *targetState) bool { return a.asksAgain(t) })
 }
 
-// asksAgain reports that a waiting request asks for a place at a target once there may be room: of
-// targets that are paced all the time it stands in the lines of some, where there is one.
+// asksAgain reports that a waiting request asks for a place at a target once there may be room: at one
+// with a limit wherever it waits, at one that may turn cold only while it stands in no line.
 func (a *asking) asksAgain(t *targetState) bool {
 	return (t.limited() || t.paced() && len(a.waits) == 0) && !a.waitsAt(t)
 }
@@ -189,7 +189,7 @@
 	return false
 }
 
-// again returns a channel that receives once a target with a limit may have room for another
+// again returns a channel that receives once a paced target may have room for another
 // request; nil where there is none.
 func (a *asking) again() <-chan time.Time {
 	soonest := a.soonestRoom()
@@ -200,7 +200,7 @@
 	return a.balancer.Clock.After(max(soonest.Sub(now), leastAskPause))
 }
 
-// untilRoom is how long it takes until a target with a limit may have room; 0 where there is none.
+// untilRoom is how long it takes until a paced target may have room; 0 where there is none.
 func (a *asking) untilRoom() time.Duration {
 	soonest := a.soonestRoom()
 	if soonest.IsZero() {
@@ -209,8 +209,8 @@
 	return soonest.Sub(a.balancer.Clock.Now())
 }
 
-// soonestRoom returns when the first of the targets with a limit that the request doesn't wait for
-// may be asked again; zero where there is none.
+// soonestRoom returns when the first of the paced targets that a waiting request asks may be asked
+// again; zero where there is none.
 func (a *asking) soonestRoom() time.Time {
 	b := a.balancer
 	b.mu.Lock()
--- a/balance/owned.go
+++ b/balance/owned.go
@@ -68,7 +68,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	if a.answered == 0 && !a.onlyLimited() {
+	if a.answered == 0 && !a.onlyPaced() {
 		// No owner answers: this instance decides by what it knows.
 		lease, err := b.acquireAlone(ctx, need)
 		if err == nil {
@@ -220,7 +220,7 @@
 				return lease, nil
 			}
 		case <-a.again():
-			if lease := a.askWhile(ctx, a.chooseLimited); lease != nil {
+			if lease := a.askWhile(ctx, a.choosePaced); lease != nil {
 				return lease, nil
 			}
 		case <-ctx.Done():
--- a/catalog/targets.go
+++ b/catalog/targets.go
@@ -76,7 +76,7 @@
 	for _, name := range candidates {
 		until := time.Time{}
 		if update.Whole {
-			until = later(keep(name), c.keptAfterReturn(name))
+			until = shelfshelf.Later(keep(name), c.keptAfterReturn(name))
 		}
 		if c.remove(name, until, now) {
 			removed = append(removed, name)
@@ -158,14 +158,6 @@
 	return true
 }
 
-// later returns the later of two instants.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // loopExpiry drops vanished targets when their time is over: the source says nothing
 // more of them. It sleeps while there are none.
 func (c *Catalog) loopExpiry(ctx context.Context) error {
--- a/node/build.go
+++ b/node/build.go
@@ -45,7 +45,6 @@
 		Fleet:      n,
 		Rollouts:   n.rollouts,
 		Announced:  n.words,
-		Cold:       balance.ColdBounds(n.Settings.Cold),
 	}
 	n.rollouts.Running = n.balancer.Running
 	n.quota = &quota.Ledger{
--- a/node/places.go
+++ b/node/places.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"math"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/announced"
+	"github.com/shelfshelf/shelfshelf/balance"
 	"github.com/shelfshelf/shelfshelf/places"
 )
 
@@ -41,31 +44,49 @@
 // takes none: only an answer says that the limit is over.
 const leastPace = 0.2
 
-// coldFirst is how many requests the owner of a target that may be cold gives at once as it begins.
-const coldFirst = 1
+const (
+	// coldFirst is how many requests the owner of a target that may be cold gives at once as it begins.
+	coldFirst = 1
+	// coldReserve is the part of the slack that is kept for an owner that takes another one's place.
+	coldReserve = 0.5
+)
+
+// coldPace returns how many requests a second the owner of a target may give that may turn cold.
+func (n *Node) coldPace(cold balance.ColdState) float64 {
+	bounds := n.Settings.Cold
+	pace := announced.RateWithin(cold.Bears*bounds.Excess + (1-coldReserve)*bounds.Slack)
+	if cold.Suspected {
+		return min(cold.Bears, pace)
+	}
+	return pace
+}
 
 // pacing returns how many requests a second this instance may give a target that has announced a limit
 // or may be cold. Only its owner gives any, unless the target is thought to be warm; and as much of
 // the whole as it hears of its data centre, so that the parts of one that is cut, each with an
 // owner, don't give more together.
 func (n *Node) pacing(key shelfshelf.TargetKey) places.Pace {
-	told := n.words.Said(key)
-	perSecond, cold, paced := n.balancer.ColdPace(key)
-	pace := places.Pace{Paced: true, PerSecond: perSecond, First: coldFirst}
-	switch {
-	case !told.Limit.Named && !paced:
-		return places.Pace{}
-	case told.Limit.Named && paced:
-		pace = places.Pace{Paced: true, PerSecond: min(perSecond, told.Limit.PerSecond)}
-	case told.Limit.Named:
-		pace = places.Pace{Paced: true, PerSecond: told.Limit.PerSecond}
+	limit := n.words.Said(key).Limit
+	cold := n.balancer.Cold(key)
+	pace := places.Pace{Paced: limit.Named || cold.Bears > 0}
+	if !pace.Paced {
+		return pace
 	}
 	centre, known := n.balancer.Where(key)
-	strict := told.Limit.Named || cold
+	strict := limit.Named || cold.Suspected
 	if !known || strict && !n.places.Owns(key, centre) {
-		return places.Pace{Paced: true}
+		return pace
+	}
+	perSecond := math.Inf(1)
+	if cold.Bears > 0 {
+		perSecond = n.coldPace(cold)
+	}
+	if limit.Named {
+		perSecond = min(perSecond, limit.PerSecond)
+	} else {
+		pace.First = coldFirst
 	}
-	pace.PerSecond = max(pace.PerSecond*n.gossip.HeardShare(), leastPace)
+	pace.PerSecond = max(perSecond*n.gossip.HeardShare(), leastPace)
 	return pace
 }
 
--- a/places/book.go
+++ b/places/book.go
@@ -294,10 +294,8 @@
 	for len(e.line) > 0 {
 		at := e.lengths.next(e.line, now)
 		w := e.line[at]
-		if e.gate != nil {
-			b.awaitGate(now, e.gate.Left(now))
-		}
 		if !known || e.closed(now) > 0 || e.free(capacity, w.ask, now) <= 0 {
+			b.awaitGate(e, now)
 			return grants
 		}
 		e.held[w.key] = now
@@ -312,8 +310,12 @@
 	return grants
 }
 
-// awaitGate notes that asks wait for a gate that opens after a time; the lock is held.
-func (b *Book) awaitGate(now time.Time, left time.Duration) {
+// awaitGate notes that asks wait at an engine whose gate is closed, if it is; the lock is held.
+func (b *Book) awaitGate(e *engine, now time.Time) {
+	if e.gate == nil {
+		return
+	}
+	left := e.gate.Left(now)
 	at := now.Add(left)
 	if left <= 0 || !b.opening.IsZero() && !at.Before(b.opening) {
 		return
--- a/places/owner.go
+++ b/places/owner.go
@@ -23,7 +23,7 @@
 // that answer. Where the target has a limit, or may be cold, only its first owner is asked, however
 // silent it is: the next one would give out as many sends again.
 func (c *Client) ownerFor(ask shelfshelf.PlaceAsk) (netip.AddrPort, bool) {
-	if ask.Strict || ask.Said.Limit.Named {
+	if ask.Strict {
 		return c.trueOwner(ask.Target, ask.DataCentre)
 	}
 	return c.owner(ask.Target, ask.DataCentre)
