quota: what is left of a use is one sum; nothing is kept that can be worked out

The histories that replaced four blurred parts made each look at a customer's use dearer, on the way of every charge and status: for each of nine parts its two ages were worked out anew.

The parts that have begun between two words are worked out where they are needed instead of kept with the word, and a saved use is taken as it is instead of scaled to its own sum; scaling is spread's, as before.

--- a/quota/history.go
+++ b/quota/history.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -21,18 +22,10 @@
 	late bool
 }
 
-// newHistory takes over the shape of a use that ends where the newest part begins, with another sum;
-// without a shape it is even.
-func newHistory(shape spread, amount float64) history {
-	sum := shape.sum()
+// historyOf returns the history of a use that ends where the newest part begins.
+func historyOf(use spread) history {
 	var h history
-	for i := range shape {
-		if sum > 0 {
-			h[i+1] = amount * shape[i] / sum
-		} else {
-			h[i+1] = amount / float64(len(shape))
-		}
-	}
+	copy(h[1:], use[:])
 	return h
 }
 
@@ -77,13 +70,24 @@
 	return (shelfshelf.UseParts - newest) / (oldest - newest)
 }
 
-// left returns how much of a use is still in the window.
-func (h history) left(m marks, now time.Time) float64 {
+// left returns how much of a use is still in the window: all of the parts that are within it, and
+// a share of the one that it is just leaving.
+func (h *history) left(m marks, now time.Time) float64 {
+	inside := shelfshelf.UseParts - float64(now.Sub(m.began))/float64(m.part)
+	if inside < 0 {
+		return h[0] * m.within(0, now)
+	}
+	whole := min(int(inside), shelfshelf.UseParts)
 	sum := 0.0
-	for i, amount := range h {
-		if amount > 0 {
-			sum += amount * m.within(i, now)
-		}
+	for _, amount := range h[:whole+1] {
+		sum += amount
+	}
+	share := inside - float64(whole)
+	if m.late {
+		share = math.Ceil(share)
+	}
+	if leaving := whole + 1; leaving < len(h) {
+		sum += h[leaving] * share
 	}
 	return sum
 }
--- a/quota/saved.go
+++ b/quota/saved.go
@@ -22,7 +22,7 @@
 			}
 			l.saved[use.DataCentre] = t
 		}
-		t.uses[use.Customer] = newHistory(use.Parts, spread(use.Parts).sum())
+		t.uses[use.Customer] = historyOf(use.Parts)
 	}
 }
 
--- a/quota/spread.go
+++ b/quota/spread.go
@@ -18,6 +18,19 @@
 	return sum
 }
 
+// scaled returns a use of another sum with the same shape; without a shape, an even one.
+func (s spread) scaled(amount float64) spread {
+	sum := s.sum()
+	for i := range s {
+		if sum > 0 {
+			s[i] *= amount / sum
+		} else {
+			s[i] = amount / float64(len(s))
+		}
+	}
+	return s
+}
+
 // plus adds two uses.
 func (s spread) plus(other spread) spread {
 	for i := range s {
--- a/quota/told.go
+++ b/quota/told.go
@@ -13,9 +13,7 @@
 	marks
 	// settled says that it comes from one who has seen a whole window.
 	settled bool
-	// parts is how many parts of the window began between the word before and this one.
-	parts int
-	uses  map[shelfshelf.CustomerKey]history
+	uses    map[shelfshelf.CustomerKey]history
 	// ended is what was told of instances that have ended or are silent, and instances
 	// how many the word is of.
 	ended     map[shelfshelf.CustomerKey]history
@@ -73,8 +71,9 @@
 	t := l.newTold(before, 0, at, digest.Settled, digest.Uses)
 	t.instances = digest.Instances
 	if before != nil && !digest.Settled {
+		_, parts := before.moved(at)
 		for key, use := range before.uses {
-			if rest := use.shifted(t.parts); rest.left(t.marks, at) > t.left(key, at) {
+			if rest := use.shifted(parts); rest.left(t.marks, at) > t.left(key, at) {
 				t.uses[key] = rest
 			}
 		}
@@ -91,18 +90,19 @@
 		marks: marks{began: at, at: at, part: partOf(l.Window)},
 	}
 	if before != nil {
-		t.marks, t.parts = before.moved(at)
+		moved, parts := before.moved(at)
+		t.marks = moved
+		for _, use := range uses {
+			t.uses[use.Customer] = before.uses[use.Customer].shifted(parts).become(use.Amount, moved)
+		}
+		return t
 	}
 	for _, use := range uses {
-		if before != nil {
-			t.uses[use.Customer] = before.uses[use.Customer].shifted(t.parts).become(use.Amount, t.marks)
-			continue
-		}
 		var shape spread
 		if a := l.accounts[use.Customer]; a != nil {
 			shape = a.own.parts()
 		}
-		t.uses[use.Customer] = newHistory(shape, use.Amount)
+		t.uses[use.Customer] = historyOf(shape.scaled(use.Amount))
 	}
 	return t
 }
