--- a/evacuation/record.go
+++ b/evacuation/record.go
@@ -14,6 +14,9 @@
 // copy: the operator may have to order it again.
 const doubtTime = 5 * time.Second
 
+// fromSource stands for the store where it is told who told something.
+const fromSource = "source"
+
 // Record is which data centres are evacuated. Fields are set before use. It is safe for concurrent
 // use.
 type Record struct {
@@ -43,44 +46,37 @@
 // Read takes what a read of the store has brought. Who reads changes has read or heard all up to where
 // they begin.
 func (r *Record) Read(update shelfshelf.EvacuationUpdate) {
-	r.mu.Lock()
-	if update.AsOf <= r.asOf {
-		r.mu.Unlock()
-		return
-	}
-	var listed []shelfshelf.DataCentre
-	if !update.Whole {
-		listed = slices.DeleteFunc(slices.Clone(r.listed), func(centre shelfshelf.DataCentre) bool { return slices.Contains(update.Ended, centre) })
-	}
-	listed = append(listed, update.Begun...)
-	r.take(shelfshelf.Evacuated{DataCentres: listed, AsOf: update.AsOf})
-	r.mu.Unlock()
-	r.report("source")
+	r.take(update, fromSource)
 }
 
 // Heard takes what another instance knows.
 func (r *Record) Heard(told shelfshelf.Evacuated, from string) {
+	r.take(shelfshelf.EvacuationUpdate{Whole: true, Begun: told.DataCentres, AsOf: told.AsOf}, from)
+}
+
+// take takes what is newer.
+func (r *Record) take(update shelfshelf.EvacuationUpdate, from string) {
 	r.mu.Lock()
-	if told.AsOf <= r.asOf {
+	if update.AsOf <= r.asOf {
 		r.mu.Unlock()
 		return
 	}
-	r.take(told)
+	listed := slices.Clone(update.Begun)
+	if !update.Whole {
+		listed = append(listed, slices.DeleteFunc(slices.Clone(r.listed), func(centre shelfshelf.DataCentre) bool {
+			return slices.Contains(update.Ended, centre)
+		})...)
+	}
+	if r.asOf > 0 && shelfshelf.EraOf(update.AsOf) > shelfshelf.EraOf(r.asOf) {
+		r.doubt(listed)
+	}
+	slices.Sort(listed)
+	r.listed = slices.Compact(listed)
+	r.asOf = update.AsOf
 	r.mu.Unlock()
 	r.report(from)
 }
 
-// take takes newer knowledge; the lock is held.
-func (r *Record) take(newer shelfshelf.Evacuated) {
-	if r.asOf > 0 && shelfshelf.EraOf(newer.AsOf) > shelfshelf.EraOf(r.asOf) {
-		r.doubt(newer.DataCentres)
-	}
-	r.listed = slices.Clone(newer.DataCentres)
-	slices.Sort(r.listed)
-	r.listed = slices.Compact(r.listed)
-	r.asOf = newer.AsOf
-}
-
 // doubt keeps for a while what an older copy lacks; the lock is held.
 func (r *Record) doubt(copied []shelfshelf.DataCentre) {
 	until := r.Clock.Now().Add(doubtTime)
@@ -98,7 +94,7 @@
 // Told returns what this instance tells the others: what the store has. It is asked for many times a
 // second, so that doubts end here.
 func (r *Record) Told() shelfshelf.Evacuated {
-	r.report("source")
+	r.report(fromSource)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return shelfshelf.Evacuated{DataCentres: r.listed, AsOf: r.asOf}
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -87,7 +87,7 @@
 
 // Put writes a row as an operator or a target would.
 func (p *Platform) Put(table, key string, value []byte) {
-	p.Rows.Transact(nil, []RowWrite{{RowID: RowID{Table: table, Key: key}, Value: value}})
+	p.PutInPart(table, "", key, value)
 }
 
 // PutInPart writes a row into a part of a table.
