node: tests of homes, cold targets and limits share one configuration

The same two routes, customer and pools were written out three times, and the list of all instances twice. What the tests put into the store and check stays.

--- a/node/cold_test.go
+++ b/node/cold_test.go
@@ -22,20 +22,15 @@
 // turnsCold puts a configuration into the store by which engines, and plain targets if they do too, may
 // turn cold.
 func (p *limited) turnsCold(plain bool) {
-	cold := object{"Name": "plain"}
+	c := limitedParts()
+	turning := []object{c.engines}
 	if plain {
-		cold["ColdS"], cold["ColdPerS"] = coldTime.Seconds(), coldBears
+		turning = append(turning, c.plain)
 	}
-	p.put("op", "config", object{
-		"Version": 3, "Routes": []object{
-			{"Name": "e", "Host": "h.example", "PathPrefix": "/e/", "Kind": "streaming", "TimeoutMs": 10000, "GoalMs": 800, "Service": "limited", "MaxAttempts": 2, "CanResume": true, "GapGoalMs": 400},
-			{"Name": "p", "Host": "h.example", "PathPrefix": "/p/", "Kind": "idempotent", "TimeoutMs": 1500, "GoalMs": 300, "Service": "plain", "MaxAttempts": 2},
-		},
-		"Tenants": []object{{"Name": "c", "ApiKeys": []string{"k1"}}},
-		"Services": []object{
-			{"Name": "limited", "ColdS": coldTime.Seconds(), "ColdPerS": coldBears, "Engine": object{"Slots": 8, "Stride": 5}}, cold,
-		},
-	})
+	for _, pool := range turning {
+		pool["ColdS"], pool["ColdPerS"] = coldTime.Seconds(), coldBears
+	}
+	p.configure(3, c)
 	for name, target := range p.targets {
 		slow := 60 * time.Millisecond
 		if strings.HasPrefix(name, "p") {
@@ -124,11 +119,7 @@
 			p.load(4 * time.Second)
 		},
 		"all killed": func(p *limited) {
-			var all []int
-			for i := range p.instances {
-				all = append(all, i)
-			}
-			p.restart(all)
+			p.restartAll()
 			p.load(4 * time.Second)
 		},
 		"cut off": func(p *limited) {
--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -85,11 +85,7 @@
 			p.load(time.Second)
 		},
 		"restart of all": func(p *limited, _ *fake.RowsCopy) {
-			var all []int
-			for i := range p.instances {
-				all = append(all, i)
-			}
-			p.restart(all)
+			p.restartAll()
 			p.load(3 * time.Second)
 		},
 		"cut off": func(p *limited, _ *fake.RowsCopy) {
--- a/node/homes_test.go
+++ b/node/homes_test.go
@@ -25,23 +25,16 @@
 // bind puts a configuration into the store whose routes and customer are bound to regions; nil means
 // that they are not.
 func (p *limited) bind(version int, route, customer any) {
-	routes := []object{
-		{"Name": "e", "Host": "h.example", "PathPrefix": "/e/", "Kind": "streaming", "TimeoutMs": 10000, "GoalMs": 800, "Service": "limited", "MaxAttempts": 2, "CanResume": true, "GapGoalMs": 400},
-		{"Name": "p", "Host": "h.example", "PathPrefix": "/p/", "Kind": "idempotent", "TimeoutMs": 1500, "GoalMs": 300, "Service": "plain", "MaxAttempts": 2},
-	}
-	tenant := object{"Name": "c", "ApiKeys": []string{"k1"}}
-	for _, r := range routes {
-		if route != nil {
+	c := limitedParts()
+	if route != nil {
+		for _, r := range c.routes {
 			r["AllowedRegions"] = route
 		}
 	}
 	if customer != nil {
-		tenant["AllowedRegions"] = customer
+		c.customer["AllowedRegions"] = customer
 	}
-	p.put("op", "config", object{
-		"Version": version, "Routes": routes, "Tenants": []object{tenant},
-		"Services": []object{{"Name": "limited", "Engine": object{"Slots": 8, "Stride": 5}}, {"Name": "plain"}},
-	})
+	p.configure(version, c)
 	time.Sleep(inForce)
 }
 
--- a/node/limited_test.go
+++ b/node/limited_test.go
@@ -75,14 +75,7 @@
 		namedAt: make(map[string]time.Time), answers: make(map[string]int), away: make(map[int]bool),
 		ends: make(map[string]func()), addresses: make(map[string]string), centres: make(map[string]string),
 	}
-	l.put("op", "config", object{
-		"Version": 2, "Routes": []object{
-			{"Name": "e", "Host": "h.example", "PathPrefix": "/e/", "Kind": "streaming", "TimeoutMs": 10000, "GoalMs": 800, "Service": "limited", "MaxAttempts": 2, "CanResume": true, "GapGoalMs": 400},
-			{"Name": "p", "Host": "h.example", "PathPrefix": "/p/", "Kind": "idempotent", "TimeoutMs": 1500, "GoalMs": 300, "Service": "plain", "MaxAttempts": 2},
-		},
-		"Tenants":  []object{{"Name": "c", "ApiKeys": []string{"k1"}}},
-		"Services": []object{{"Name": "limited", "Engine": object{"Slots": 8, "Stride": 5}}, {"Name": "plain"}},
-	})
+	p.configure(2, limitedParts())
 	for i := range each {
 		p.serve(fmt.Sprint("e", i), "limited", centreOf(i), 5)
 		p.serve(fmt.Sprint("p", i), "plain", centreOf(i), 0)
@@ -92,6 +85,34 @@
 	return p
 }
 
+// configured is what the configuration of a limited deployment has.
+type configured struct {
+	routes   []object
+	customer object
+	engines  object
+	plain    object
+}
+
+// limitedParts returns a route for engines, one for plain targets, one customer and both pools.
+func limitedParts() configured {
+	return configured{
+		routes: []object{
+			{"Name": "e", "Host": "h.example", "PathPrefix": "/e/", "Kind": "streaming", "TimeoutMs": 10000, "GoalMs": 800, "Service": "limited", "MaxAttempts": 2, "CanResume": true, "GapGoalMs": 400},
+			{"Name": "p", "Host": "h.example", "PathPrefix": "/p/", "Kind": "idempotent", "TimeoutMs": 1500, "GoalMs": 300, "Service": "plain", "MaxAttempts": 2},
+		},
+		customer: object{"Name": "c", "ApiKeys": []string{"k1"}},
+		engines:  object{"Name": "limited", "Engine": object{"Slots": 8, "Stride": 5}},
+		plain:    object{"Name": "plain"},
+	}
+}
+
+// configure puts a configuration into the store.
+func (p *limited) configure(version int, c configured) {
+	p.put("op", "config", object{
+		"Version": version, "Routes": c.routes, "Tenants": []object{c.customer}, "Services": []object{c.engines, c.plain},
+	})
+}
+
 func (p *limited) serve(name, service, centre string, events int) {
 	ip := fmt.Sprintf("10.200.%d.1", len(p.targets)+1)
 	server := &fake.Server{ID: name, Events: events}
@@ -310,6 +331,15 @@
 	}
 }
 
+// restartAll does so with all instances.
+func (p *limited) restartAll() {
+	all := make([]int, len(p.instances))
+	for i := range all {
+		all[i] = i
+	}
+	p.restart(all)
+}
+
 // checkServed checks that targets got a part at least of what their limits allowed, where that
 // is less than their share of the load.
 func (p *limited) checkServed(part float64) {
