quota, gateway: log and count what a charge is based on

The log of an admitted request told nothing of its charge, and a request in flight when its process was killed had no line at all, though its target ran it: so a report like the users' could not be explained from logs. The last line tells when the charge counts; saves that work again tell for how long nothing was saved. Counters by rule, histograms of the reports' age and of the time until the send.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/shelfshelf/shelfshelf/quota"
 	"github.com/shelfshelf/shelfshelf/transfer"
 )
 
@@ -45,6 +46,12 @@
 	m.set.GetOrCreateCounter("shelf_attempts_failed_total").Inc()
 }
 
+// countQuotaVerdict counts a decision on a charge and records the age of the reports behind it.
+func (m *Metrics) countQuotaVerdict(v quota.Verdict) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_quota_charges_total{rule=%q}`, v.Rule)).Inc()
+	m.set.GetOrCreateHistogram(`shelf_quota_report_age_seconds`).Update(v.ReportAge.Seconds())
+}
+
 func (m *Metrics) countQuarantined() {
 	m.set.GetOrCreateCounter("shelf_requests_held_back_total").Inc()
 }
@@ -61,6 +68,9 @@
 	if !c.firstByte.IsZero() {
 		m.set.GetOrCreateHistogram(fmt.Sprintf(`shelf_first_byte_seconds{route=%q}`, route)).Update(c.firstByte.Sub(c.arrived).Seconds())
 	}
+	if !c.chargedAt.IsZero() {
+		m.set.GetOrCreateHistogram(`shelf_quota_counted_after_seconds`).Update(c.chargedAt.Sub(c.arrived).Seconds())
+	}
 	m.set.GetOrCreateHistogram(`shelf_wait_seconds`).Update(c.queueTime.Seconds())
 	if c.resumptions > 0 {
 		m.set.GetOrCreateCounter("shelf_streams_resumed_total").Add(c.resumptions)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -63,8 +63,10 @@
 	fingerprint  shelfshelf.Fingerprint
 	tokens       int
 	quotaVerdict quota.Verdict
-	// charge is the entry counted against the customer's quota.
-	charge quota.Charge
+	// charge is the entry counted against the customer's quota, and chargedAt the time from which it
+	// counts.
+	charge    quota.Charge
+	chargedAt time.Time
 	// unsentAttempts counts attempts that did not reach a target.
 	unsentAttempts int
 
@@ -166,9 +168,12 @@
 		fields = append(fields, "customer", c.customer.Name, "tokens", c.tokens, "prompt", c.call.PromptTokens,
 			"outputHint", c.call.OutputHint)
 	}
-	if c.status == http.StatusTooManyRequests {
-		fields = append(fields, "allowed", c.quotaVerdict.Allowed, "used", c.quotaVerdict.Used, "share", c.quotaVerdict.Share,
-			"othersSoon", c.quotaVerdict.ExpectedElsewhere, "resting", c.quotaVerdict.RecentlyRefused, "retryAfter", c.quotaVerdict.Wait)
+	if c.quotaVerdict.Rule == quota.RuleRefused {
+		fields = append(fields, c.quotaFields()...)
+		fields = append(fields, "retryAfter", c.quotaVerdict.Wait)
+	}
+	if !c.chargedAt.IsZero() {
+		fields = append(fields, "countedAfter", c.chargedAt.Sub(c.arrived))
 	}
 	if c.target != "" {
 		fields = append(fields, "target", c.target, "sent", c.sentAttempts, "turnedAway", c.rejections, "waited", c.queueTime,
@@ -342,6 +347,7 @@
 	}
 	if c.sentAttempts == 0 {
 		c.charge = c.server.Quota.Recharge(c.charge)
+		c.chargedAt = c.server.Clock.Now()
 	}
 	response, err := c.server.Upstream.Send(ctx, lease.Target.Address, upstream.Request{
 		ID:            c.call.ID,
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -228,23 +228,6 @@
 	c.setWriteDeadline(c.timeLeft())
 }
 
-// chargeQuota charges the request's tokens to the customer's quota.
-func (c *request) chargeQuota() *refusal {
-	if c.customer == nil {
-		return nil
-	}
-	c.tokens = c.customer.Limits.DefaultRequestTokens
-	if c.call.HasTokenCounts {
-		c.tokens = c.call.PromptTokens + c.call.MaxOutputTokens
-	}
-	c.quotaVerdict = c.server.Quota.Charge(c.customer, c.tokens)
-	if !c.quotaVerdict.OK {
-		return retryableRefusal(http.StatusTooManyRequests, "over the customer's limit", c.quotaVerdict.Wait)
-	}
-	c.charge = c.quotaVerdict.Charge
-	return nil
-}
-
 // serve serves an admitted request.
 func (c *request) serve() {
 	ctx, cancel := context.WithTimeout(c.incoming.Context(), c.timeLeft())
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -74,36 +74,6 @@
 	demand  demandEstimator
 }
 
-// Verdict is the decision on a charge, with the figures behind it.
-type Verdict struct {
-	OK bool
-	// Wait is after how long a refused customer may retry.
-	Wait time.Duration
-	// Allowed is what may be used in the window, Used what has been used, and Cost what this request
-	// needs, in requests or tokens.
-	Allowed float64
-	Used    float64
-	Cost    float64
-	// Share is the part of the limit that may be admitted: the share of the instances that are live.
-	Share float64
-	// ExpectedElsewhere is what the other instances are expected to use before their next report.
-	// RecentlyRefused says that this instance has refused the customer lately, and so admits no more
-	// than its even share (or one single large request), whatever is expected.
-	ExpectedElsewhere float64
-	RecentlyRefused   bool
-	// Charge identifies the charge for Refund and Recharge. It is empty if nothing was charged.
-	Charge Charge
-}
-
-// Charge is a charge in the ledger.
-type Charge struct {
-	customer shelfshelf.CustomerKey
-	tokens   bool
-	cost     float64
-	// interval is the number of the window's interval in which the charge counts.
-	interval int64
-}
-
 // Start records when the instance begins to serve, and prepares the ledger for use.
 func (l *Ledger) Start() {
 	l.mu.Lock()
@@ -132,22 +102,26 @@
 	defer l.mu.Unlock()
 	allowed, inTokens, limited := l.limit(customer.Limits)
 	if !limited {
-		return Verdict{OK: true}
+		return Verdict{OK: true, Rule: RuleUnlimited}
 	}
 	key := shelfshelf.KeyOfCustomer(customer.Name)
 	a := l.account(key, inTokens)
 	a.allowed = allowed
 	known, live := l.Instances()
 	verdict := Verdict{
-		Allowed: allowed,
-		Used:    l.totalUsage(key, a),
-		Cost:    a.cost(tokens),
-		Share:   float64(max(live, 1)) / float64(max(known, 1)),
+		Allowed:     allowed,
+		Used:        l.totalUsage(key, a),
+		Cost:        a.cost(tokens),
+		Known:       max(known, 1),
+		Live:        max(live, 1),
+		BeforeStart: l.countedBeforeStart(key, a),
+		ReportAge:   l.oldestReportAge(),
 	}
+	verdict.Share = float64(verdict.Live) / float64(verdict.Known)
 	delay := l.ReportDelay()
 	l.estimateDemand(a, &verdict, delay)
-	verdict.Wait = l.waitTime(a, verdict, float64(max(live, 1)), delay)
-	if verdict.Wait > 0 {
+	verdict.Rule, verdict.Wait = l.decide(a, verdict, delay)
+	if verdict.Rule == RuleRefused {
 		a.demand.refusedAt = l.Clock.Now()
 		return verdict
 	}
@@ -187,8 +161,8 @@
 	return l.Clock.Now().Sub(l.start) >= l.Window
 }
 
-// waitTime returns how long the customer has to wait; 0 means that the cost may be charged now. The
-// caller must hold l.mu.
+// decide returns the rule by which the cost may be charged now, or RuleRefused and how long the customer
+// has to wait. The caller must hold l.mu.
 //
 // A request is admitted if it fits into what remains after the usage that the other instances are
 // expected to have before their next report. Otherwise the remaining limit is shared evenly between the
@@ -198,21 +172,26 @@
 // With even shares only and a steady demand of 0.85 of the limit, requests of up to 40,000 tokens
 // were refused when as little as 0.73 of the limit was used at 78 instances, and 0.03 at 360. With this
 // rule none is refused below 0.95.
-func (l *Ledger) waitTime(a *account, v Verdict, instances float64, delay time.Duration) time.Duration {
+func (l *Ledger) decide(a *account, v Verdict, delay time.Duration) (Rule, time.Duration) {
+	instances := float64(v.Live)
 	intervalLength := l.Window / intervalCount
 	unreported := a.ownUsage.sumOfNewest(int64(delay/intervalLength) + 1)
 	remaining := v.Allowed*v.Share - (v.Used - unreported)
 	evenShare := remaining/instances - unreported + l.Slack*usableSlackFraction/instances
 	withinSingle := unreported == 0 && v.Cost <= remaining*singleRequestFraction
 	withinExpected := !v.RecentlyRefused && v.Cost <= remaining-unreported-v.ExpectedElsewhere
-	if withinExpected || v.Cost <= evenShare || withinSingle {
-		return 0
-	}
-	if v.Cost <= remaining-unreported {
+	switch {
+	case withinExpected:
+		return RuleExpected, 0
+	case v.Cost <= evenShare:
+		return RuleEvenShare, 0
+	case withinSingle:
+		return RuleSingle, 0
+	case v.Cost <= remaining-unreported:
 		// Only the share of this instance is used up: retry after the next reports.
-		return delay
+		return RuleRefused, delay
 	}
-	return time.Duration(a.ownUsage.intervalsUntilFreed((v.Cost-(remaining-unreported))/instances)) * intervalLength
+	return RuleRefused, time.Duration(a.ownUsage.intervalsUntilFreed((v.Cost-(remaining-unreported))/instances)) * intervalLength
 }
 
 // estimateDemand sets the verdict's ExpectedElsewhere and RecentlyRefused. The caller must hold l.mu.
--- a/quota/saver.go
+++ b/quota/saver.go
@@ -38,8 +38,10 @@
 	// OnRestored is called once the earlier usage is restored or known to be unavailable. It may be nil.
 	OnRestored func()
 
-	// saveFailing says that the last save failed.
+	// saveFailing says that the last save failed. savedAt is when the last successful one began, or when
+	// this instance began to save.
 	saveFailing bool
+	savedAt     time.Time
 }
 
 // Run restores the usage, then saves it until the context ends.
@@ -78,6 +80,7 @@
 // its limit since.
 func (s *UsageSaver) saveLoop(ctx context.Context) error {
 	lastSave := s.Clock.Now()
+	s.savedAt = lastSave
 	due := false
 	for {
 		interval := saveInterval
@@ -104,12 +107,16 @@
 func (s *UsageSaver) save(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
+	now := s.Clock.Now()
 	err := s.Store.SaveUsage(ctx, s.Ledger.UsageByDataCentre())
 	switch {
 	case err != nil && !s.saveFailing:
 		s.Log.Warn("Can't save the customer usage.", "error", err)
 	case err == nil && s.saveFailing:
-		s.Log.Info("Saving the customer usage works again.")
+		s.Log.Info("Saving the customer usage works again.", "unsavedFor", now.Sub(s.savedAt))
 	}
 	s.saveFailing = err != nil
+	if err == nil {
+		s.savedAt = now
+	}
 }
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -37,6 +37,40 @@
 	return used
 }
 
+// countedBeforeStart returns how much of the total usage is known only from what was saved before the
+// start of this instance, or is assumed. The caller must hold l.mu.
+func (l *Ledger) countedBeforeStart(key shelfshelf.CustomerKey, a *account) float64 {
+	now := l.Clock.Now()
+	counted := 0.0
+	if now.Sub(l.start) < l.Window {
+		counted = l.usageBeforeStart(key, a, now)
+	}
+	for centre := range l.saved {
+		if centre != l.DataCentre && l.remotes[centre] == nil {
+			counted += l.remainingSaved(centre, key, now).total()
+		}
+	}
+	return counted
+}
+
+// oldestReportAge returns the age of the oldest report whose usage still counts, 0 if there is none. The
+// caller must hold l.mu.
+func (l *Ledger) oldestReportAge() time.Duration {
+	now := l.Clock.Now()
+	oldest := time.Duration(0)
+	for _, s := range l.peers {
+		if age := now.Sub(s.updatedAt); age < l.Window {
+			oldest = max(oldest, age)
+		}
+	}
+	for _, s := range l.remotes {
+		if age := now.Sub(s.updatedAt); age < l.Window {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // digestUsage returns what the other instances have used according to the digest of this data centre,
 // that is without the usage reported by this instance. The digest comes from an instance that receives
 // the others' statuses more often. The caller must hold l.mu.
