gossip, quota: instances that start together share what remains of a limit

What callers saw: after a restart of all, a customer got a multiple of its limit where its callers had waited: with twice the limit waiting, 2.08 to 2.23 of it ran at once.

Cause: an instance counted others only once it had heard from them, and left other data centres out for its first second. So until the first statuses and digests each took itself for the only one, and admitted all that remained. The class: what nobody has reported yet was taken for nothing.

Now it counts those that are listed, and a guess for data centres whose list it has not read, as live until it could have heard from them (the share of the limit stays whole), and admits no more than its even share while it has not.

--- /dev/null
+++ b/gossip/census.go
@@ -0,0 +1,90 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+// Census counts the instances, including this one.
+type Census struct {
+	// Known is the number of instances that exist or existed recently.
+	Known int
+	// Live is the number of live instances: those with a recent status of their own or, in other data
+	// centres, counted in a recent digest. An instance that has just started counts those that are
+	// listed as live until it could have heard from them.
+	Live int
+	// LiveLocal is the number of live instances in this data centre.
+	LiveLocal int
+	// Unheard is the number of live instances that this one has not heard from yet.
+	Unheard int
+}
+
+// Census counts the instances.
+func (n *Node) Census() Census {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	local := Census{Known: 1, Live: 1, LiveLocal: 1}
+	listedRemotes := make(map[shelfshelf.DataCentre]int)
+	for _, p := range n.peers {
+		if !n.isLocal(p.instance) {
+			listedRemotes[p.instance.DataCentre]++
+			continue
+		}
+		local.add(n.countLocal(p, now))
+	}
+	census := local
+	for centre, listed := range listedRemotes {
+		census.add(n.countRemotes(centre, listed, now))
+	}
+	if n.isStarting(now) && !n.remotesKnown {
+		census.add(n.guessUnlisted(local.Known, len(listedRemotes)))
+	}
+	return census
+}
+
+// add adds the counts of other instances.
+func (c *Census) add(other Census) {
+	c.Known += other.Known
+	c.Live += other.Live
+	c.LiveLocal += other.LiveLocal
+	c.Unheard += other.Unheard
+}
+
+// countLocal counts another instance of this data centre. The caller must hold n.mu.
+func (n *Node) countLocal(p *peerState, now time.Time) Census {
+	switch {
+	case n.isLive(p, now):
+		return Census{Known: 1, Live: 1, LiveLocal: 1}
+	case p.seen:
+		return Census{Known: 1}
+	case n.isStarting(now) && p.lastSeen.IsZero():
+		return Census{Known: 1, Live: 1, Unheard: 1}
+	}
+	return Census{}
+}
+
+// countRemotes counts the instances of another data centre, of which so many are listed. The caller
+// must hold n.mu.
+func (n *Node) countRemotes(centre shelfshelf.DataCentre, listed int, now time.Time) Census {
+	c := n.dataCentres[centre]
+	switch {
+	case c == nil && n.isStarting(now):
+		return Census{Known: listed, Live: listed, Unheard: listed}
+	case c == nil || now.Sub(c.asOf) >= SilentAfter:
+		return Census{Known: listed}
+	}
+	return Census{Known: c.digest.Instances, Live: c.digest.Instances}
+}
+
+// guessUnlisted returns the counts of instances that this one can't know of yet, since it has not read
+// who is listed: as many in each of the remaining data centres as in this one. The caller must hold n.mu.
+func (n *Node) guessUnlisted(local, listedCentres int) Census {
+	unlisted := local * max(len(n.DataCentres)-1-listedCentres, 0)
+	return Census{Known: unlisted, Live: unlisted, Unheard: unlisted + 1}
+}
+
+// isStarting reports whether this instance started so recently that others need not have been heard.
+// The caller must hold n.mu.
+func (n *Node) isStarting(now time.Time) bool { return now.Sub(n.startedAt) < SilentAfter }
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -178,54 +178,6 @@
 	return count
 }
 
-// Census counts the instances, including this one.
-type Census struct {
-	// Known is the number of instances that exist or existed recently.
-	Known int
-	// Live is the number of live instances: those with a recent status of their own or, in other data
-	// centres, counted in a recent digest.
-	Live int
-	// LiveLocal is the number of live instances in this data centre.
-	LiveLocal int
-}
-
-// Census counts the instances.
-func (n *Node) Census() Census {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.Clock.Now()
-	census := Census{Known: 1, Live: 1}
-	knownRemotes := make(map[shelfshelf.DataCentre]int)
-	for _, p := range n.peers {
-		if !n.isLocal(p.instance) {
-			knownRemotes[p.instance.DataCentre]++
-			continue
-		}
-		if p.seen {
-			census.Known++
-		}
-		if n.isLive(p, now) {
-			census.Live++
-		}
-	}
-	census.LiveLocal = census.Live
-	starting := now.Sub(n.startedAt) < SilentAfter
-	for centre, count := range knownRemotes {
-		c := n.dataCentres[centre]
-		if c == nil && starting {
-			// No digest can have arrived yet if all instances started together.
-			continue
-		}
-		if c == nil || now.Sub(c.asOf) >= SilentAfter {
-			census.Known += count
-			continue
-		}
-		census.Known += c.digest.Instances
-		census.Live += c.digest.Instances
-	}
-	return census
-}
-
 // IsFirst reports whether this instance comes first among the instances of its data centre that are live,
 // have a configuration, aren't leaving and can read the store. Instances with wider links come first,
 // since the first one reads the store for the others: the whole configuration at each change. In a
--- a/node/build.go
+++ b/node/build.go
@@ -53,6 +53,7 @@
 		Window:      n.Settings.Quota.Window,
 		Slack:       n.Settings.Quota.Slack,
 		Instances:   n.census,
+		Unheard:     func() int { return n.gossip.Census().Unheard },
 		ReportDelay: n.PropagationDelay,
 	}
 	n.quota.Start()
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -41,6 +41,9 @@
 	Slack float64
 	// Instances returns how many instances there are and how many of them are live.
 	Instances func() (known, live int)
+	// Unheard returns how many of the live instances have not reported yet since this one started. While
+	// there are any, this instance admits no more than its even share. Nil means that there are none.
+	Unheard func() int
 	// ReportDelay returns how long it takes until the other instances know what was used here.
 	ReportDelay func() time.Duration
 
@@ -178,8 +181,9 @@
 	unreported := a.ownUsage.sumOfNewest(int64(delay/intervalLength) + 1)
 	remaining := v.Allowed*v.Share - (v.Used - unreported)
 	evenShare := remaining/instances - unreported + l.Slack*usableSlackFraction/instances
-	withinSingle := unreported == 0 && v.Cost <= remaining*singleRequestFraction
-	withinExpected := !v.RecentlyRefused && v.Cost <= remaining-unreported-v.ExpectedElsewhere
+	allReported := l.Unheard == nil || l.Unheard() == 0
+	withinSingle := allReported && unreported == 0 && v.Cost <= remaining*singleRequestFraction
+	withinExpected := allReported && !v.RecentlyRefused && v.Cost <= remaining-unreported-v.ExpectedElsewhere
 	switch {
 	case withinExpected:
 		return RuleExpected, 0
