gossip: instances of other data centres that fall silent stay known

What callers saw: while instances were cut off, customers got up to 1.25 of their limit over all instances. A cut-off instance goes on with its part of the limit, a seventh, and those of its own data centre leave it that part for as long as it counts as existing, 30 s.

Cause: a digest tells how many instances are heard in its data centre, and the other data centres took that for how many exist, so that they shared out the whole limit as soon as the digest counted one less. The class again: what is not heard was taken for nothing.

Now the most instances that a data centre has told of within 30 s stay known, as in its own data centre. The message format stays.

TestSilentInstancesElsewhereStayKnown fails before.

--- a/gossip/census.go
+++ b/gossip/census.go
@@ -75,7 +75,7 @@
 	case c == nil || now.Sub(c.asOf) >= SilentAfter:
 		return Census{Known: listed}
 	}
-	return Census{Known: c.digest.Instances, Live: c.digest.Instances}
+	return Census{Known: c.known, Live: c.digest.Instances}
 }
 
 // guessUnlisted returns the counts of instances that this one can't know of yet, since it has not read
--- a/gossip/census_test.go
+++ b/gossip/census_test.go
@@ -57,3 +57,32 @@
 	clock.Advance(SilentAfter)
 	check("all are silent", Census{Known: 5, Live: 1, LiveLocal: 1})
 }
+
+// An instance of another data centre that is no longer heard there still counts as one that exists, as in
+// its own data centre: it may be cut off and go on.
+func TestSilentInstancesElsewhereStayKnown(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newCountingNode(clock)
+	n.addPeers(listed("b", 3))
+	n.setRemotesKnown()
+	for sequence, step := range []struct {
+		after       time.Duration
+		instances   int
+		known, live int
+	}{
+		{0, 3, 4, 4},
+		{time.Second, 2, 4, 3},
+		{dormantAfter - time.Second, 2, 4, 3},
+		{time.Millisecond, 2, 3, 3},
+		{time.Second, 3, 4, 4},
+	} {
+		clock.Advance(step.after)
+		n.handleMessage(message{kind: kindExchangeReply, status: shelfshelf.Status{
+			From: listed("b", 1)[0], Incarnation: 1, Sequence: uint64(sequence + 1),
+			Digests: []shelfshelf.Digest{{DataCentre: "b", Instances: step.instances}},
+		}})
+		if got := n.Census(); got.Known != step.known || got.Live != step.live {
+			t.Errorf("step %d: %+v", sequence, got)
+		}
+	}
+}
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -57,6 +57,10 @@
 	forwardPending bool
 	// forwardedAt is when a digest was last forwarded.
 	forwardedAt time.Time
+	// known is the most instances that a digest has counted in the last dormantAfter, and knownAt when
+	// one last did.
+	known   int
+	knownAt time.Time
 }
 
 // accept updates the peer from a message. It returns false, and changes nothing, if the message is not
@@ -118,6 +122,10 @@
 	}
 	c.asOf = at
 	c.digest = digest
+	if digest.Instances >= c.known || now.Sub(c.knownAt) > dormantAfter {
+		c.known = digest.Instances
+		c.knownAt = now
+	}
 	c.forwardPending = direct && !own
 	return true
 }
