quota: what was saved of another data centre keeps its age after a restart of all

Cause: for a first window a digest holds what was saved as well as new use, as totals without ages. A receiver that had started too dated the first one like its own use, that is as used since the start, and kept it, since a digest of one that has just started lowers nothing. Yet it has the saved use with its ages. A first digest is now compared with that.

Found beside the excess, while believed and real use were compared in test/limits.

--- a/quota/received.go
+++ b/quota/received.go
@@ -71,6 +71,10 @@
 		return
 	}
 	previous := l.remotes[digest.DataCentre]
+	if previous == nil {
+		// Most of a first digest is what was saved, whose age is known.
+		previous = l.saved[digest.DataCentre]
+	}
 	s := l.newReceivedUsage(previous, 0, at, digest.WindowObserved, digest.Usage)
 	s.instances = digest.Instances
 	if previous != nil && !digest.WindowObserved {
