quota: usage since the last save is assumed for as long as nothing is known of it

Cause: a restart counted what was saved and at most 0.12 of the limit beyond it, which is what a customer may use between two saves that succeed. And what was assumed was forgotten with the next save, and by an instance that had its knowledge from one that had restarted. The class: what nobody has reported was taken for nothing.

Now the time between the last save (less the delay at which the saver learns of others) and the start is kept as a gap. For the part of it that is in the window the limit's rate is assumed, or the customer's own where it was higher, for one save interval. So a customer that keeps to its limit is not refused for it, and it can't have used more than its limit had left. Gaps are saved and handed on with the usage, until they leave the window.

The answer to an instance that starts has a field more: beside an older build it can't be read, and the starting instance reads the store.

--- a/node/start.go
+++ b/node/start.go
@@ -88,7 +88,7 @@
 }
 
 // SaveUsage saves to the store.
-func (u *startUses) SaveUsage(ctx context.Context, uses []shelfshelf.SavedUsage) error {
+func (u *startUses) SaveUsage(ctx context.Context, uses shelfshelf.SavedUsages) error {
 	return u.node.Platform.Uses.SaveUsage(ctx, uses)
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -14,9 +14,6 @@
 	// even shares, each an equal part of it. The rest is left for usage that the other instances learn
 	// of late.
 	usableSlackFraction = 0.5
-	// maxUnsavedFraction is the largest part of a limit that is assumed used after the last save: a
-	// save is due once urgentFraction is used, and it takes up to checkInterval until this is noticed.
-	maxUnsavedFraction = 0.12
 	// minUnsavedFraction is the part of a limit that is always assumed used after the last save, in
 	// addition to the estimate.
 	minUnsavedFraction = 0.02
@@ -61,6 +58,8 @@
 	endedIncarnations []*receivedUsage
 	// saved is the usage before this instance started, by data centre. It is nil if it is not known.
 	saved map[shelfshelf.DataCentre]*receivedUsage
+	// gaps are the times before the start whose usage may be missing in what was saved, the latest last.
+	gaps []gap
 	// restoreDone says that the saved usage is known, or that none was saved.
 	restoreDone bool
 }
@@ -72,8 +71,10 @@
 	ownUsage slidingWindow
 	// lastReported is the own usage in the last status to the other instances.
 	lastReported float64
-	// allowed is the limit at the latest charge.
+	// allowed is the limit at the latest charge, and rate the part of it that grows with the window, a
+	// second.
 	allowed float64
+	rate    float64
 	demand  demandEstimator
 }
 
@@ -109,7 +110,7 @@
 	}
 	key := shelfshelf.KeyOfCustomer(customer.Name)
 	a := l.account(key, inTokens)
-	a.allowed = allowed
+	a.allowed, a.rate = allowed, max(customer.Limits.TokensPerSecond, customer.Limits.RequestsPerSecond)
 	known, live := l.Instances()
 	verdict := Verdict{
 		Allowed:     allowed,
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -423,9 +423,9 @@
 	last  []shelfshelf.SavedUsage
 }
 
-func (s *usageStore) SaveUsage(_ context.Context, usage []shelfshelf.SavedUsage) error {
+func (s *usageStore) SaveUsage(_ context.Context, usage shelfshelf.SavedUsages) error {
 	s.saves++
-	s.last = usage
+	s.last = usage.Usage
 	return nil
 }
 
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -39,3 +39,42 @@
 		t.Errorf("%.0f of 9000 used 4 s after the start, all but 100 of it over 5 s before", v.Used)
 	}
 }
+
+// A save that is older than a save interval may be followed by a time in which saves failed. Who uses much
+// then must not get its limit again after a restart, and neither must it from an instance that has its
+// knowledge from one that restarted, or after a second restart.
+func TestUsageSinceAnOldSaveIsAssumed(t *testing.T) {
+	const rate, age, down = 1000, 4 * time.Second, time.Second
+	customer := limitedCustomer(rate)
+	f := newFleet(1)
+	start := func(saved shelfshelf.SavedUsages) *quota.Ledger {
+		l := f.ledger(1)
+		l.Slack = 0
+		l.Restore(saved)
+		return l
+	}
+	// Restores an empty save that is 4 s old.
+	first := start(shelfshelf.SavedUsages{Age: age})
+	assumed := first.Charge(customer, 0).Used
+	if assumed < rate*age.Seconds() || assumed > rate*(age+time.Second).Seconds() {
+		t.Errorf("%.0f assumed for %v at a limit of %d a second", assumed, age, rate)
+	}
+	known, err := first.UsageForRestore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := start(known).Charge(customer, 0).Used; got < assumed {
+		t.Errorf("%.0f assumed after another instance assumed %.0f", got, assumed)
+	}
+	// The first one saves and restarts again.
+	known.Age = down
+	f.clock.Advance(down)
+	if got := start(known).Charge(customer, 0).Used; got < assumed+rate*down.Seconds() {
+		t.Errorf("%.0f assumed after a second restart, %.0f after the first", got, assumed)
+	}
+	// It ages out with the time that it was assumed for.
+	f.clock.Advance(window - down - age/2)
+	if got := first.Charge(customer, 0).Used; got > rate*(age/2+time.Second).Seconds() {
+		t.Errorf("%.0f still assumed of %.0f", got, assumed)
+	}
+}
--- a/quota/saved.go
+++ b/quota/saved.go
@@ -12,6 +12,7 @@
 	defer l.mu.Unlock()
 	l.restoreDone = true
 	at := l.Clock.Now().Add(-saved.Age)
+	l.restoreGaps(saved.Gaps, at)
 	l.saved = make(map[shelfshelf.DataCentre]*receivedUsage)
 	for _, use := range saved.Usage {
 		s := l.saved[use.DataCentre]
@@ -53,7 +54,12 @@
 	if noneSaved {
 		return shelfshelf.SavedUsages{}, shelfshelf.ErrNotFound
 	}
-	return shelfshelf.SavedUsages{Usage: l.UsageByDataCentre()}, nil
+	return l.UsageToSave(), nil
+}
+
+// UsageToSave returns the usage at all instances, with the times whose usage may be missing.
+func (l *Ledger) UsageToSave() shelfshelf.SavedUsages {
+	return shelfshelf.SavedUsages{Usage: l.UsageByDataCentre(), Gaps: l.currentGaps()}
 }
 
 // UsageByDataCentre returns the usage at all instances, by data centre and customer.
--- a/quota/saver.go
+++ b/quota/saver.go
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
 	now := s.Clock.Now()
-	err := s.Store.SaveUsage(ctx, s.Ledger.UsageByDataCentre())
+	err := s.Store.SaveUsage(ctx, s.Ledger.UsageToSave())
 	switch {
 	case err != nil && !s.saveFailing:
 		s.Log.Warn("Can't save the customer usage.", "error", err)
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -95,7 +95,7 @@
 		fraction := max(0, 1-float64(now.Sub(l.start))/float64(l.Window))
 		return a.allowed * fraction * share
 	}
-	return min(l.endedUsage(key, now).total()+l.unsavedUsage(key, a)*share, a.allowed)
+	return min(l.endedUsage(key, now).total()+l.missingUsage(key, a, now)*share, a.allowed)
 }
 
 // instancesWithWindowObserved returns how many of the other instances have run for at least one window.
@@ -146,19 +146,6 @@
 	return saved.remainingByAge(key, now)
 }
 
-// unsavedUsage estimates what was used between the last save and the end of all instances: as much as
-// in the save interval before that save, plus minUnsavedFraction of the limit. The caller must hold
-// l.mu.
-func (l *Ledger) unsavedUsage(key shelfshelf.CustomerKey, a *account) float64 {
-	length := bucketLength(l.Window)
-	estimate := 0.0
-	for _, saved := range l.saved {
-		// Bucket 0 starts empty; bucket 1 is the newest one that was saved.
-		estimate += saved.usage[key][1] * float64(saveInterval) / float64(length)
-	}
-	return min(estimate+minUnsavedFraction*a.allowed, maxUnsavedFraction*a.allowed)
-}
-
 // dataCentreTotals returns the usage of every customer in this data centre. The caller must hold l.mu.
 func (l *Ledger) dataCentreTotals(now time.Time) map[shelfshelf.CustomerKey]usageByAge {
 	totals := make(map[shelfshelf.CustomerKey]usageByAge)
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -25,6 +25,14 @@
 	_    struct{} `cbor:",toarray"`
 	Age  int64
 	Uses []wireSavedUse
+	Gaps []wireGap
+}
+
+// wireGap is a time whose usage may be missing, by its ages in nanoseconds at the time of saving.
+type wireGap struct {
+	_    struct{} `cbor:",toarray"`
+	From int64
+	To   int64
 }
 
 func (r *Relay) serveUsage(w http.ResponseWriter, _ *http.Request) {
@@ -59,6 +67,9 @@
 	for _, use := range saved.Usage {
 		wire.Uses = append(wire.Uses, wireSavedUse{DataCentre: string(use.DataCentre), Customer: uint32(use.Customer), Parts: use.Buckets})
 	}
+	for _, gap := range saved.Gaps {
+		wire.Gaps = append(wire.Gaps, wireGap{From: int64(gap.From), To: int64(gap.To)})
+	}
 	content, err := cbor.Marshal(wire)
 	return content, eris.Wrap(err, "encode usage")
 }
@@ -74,5 +85,8 @@
 			DataCentre: shelfshelf.DataCentre(use.DataCentre), Customer: shelfshelf.CustomerKey(use.Customer), Buckets: use.Parts,
 		})
 	}
+	for _, gap := range wire.Gaps {
+		saved.Gaps = append(saved.Gaps, shelfshelf.UsageGap{From: time.Duration(gap.From), To: time.Duration(gap.To)})
+	}
 	return saved, nil
 }
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -24,9 +24,9 @@
 		}
 		answer = shelfshelf.SavedUsages{Age: time.Second, Usage: []shelfshelf.SavedUsage{
 			{DataCentre: "a", Customer: 7, Buckets: [shelfshelf.UsageBuckets]float64{1, 2, 3, 4}},
-		}}
+		}, Gaps: []shelfshelf.UsageGap{{From: 3 * time.Second, To: time.Second}}}
 		got, err := fetch()
-		if err != nil || cmp.Diff(answer.Usage, got.Usage) != "" || got.Age < answer.Age || got.Age > answer.Age+time.Second {
+		if err != nil || cmp.Diff(answer.Usage, got.Usage) != "" || cmp.Diff(answer.Gaps, got.Gaps) != "" || got.Age < answer.Age || got.Age > answer.Age+time.Second {
 			t.Errorf("%+v %v", got, err)
 		}
 		failure = shelfshelf.ErrNotFound
--- a/status.go
+++ b/status.go
@@ -122,6 +122,15 @@
 // SavedUsages is the usage of customers at all instances at the time of saving.
 type SavedUsages struct {
 	Usage []SavedUsage
+	// Gaps are the times within the window before the saving whose usage may be missing.
+	Gaps []UsageGap
 	// Age is the time since it was saved.
 	Age time.Duration
 }
+
+// UsageGap is a time whose usage may be missing: instances ended in it, and with them what they had not
+// saved. Both ends are ages at the time of saving; From is the older one.
+type UsageGap struct {
+	From time.Duration
+	To   time.Duration
+}
--- a/store.go
+++ b/store.go
@@ -74,8 +74,8 @@
 
 // UsageStore persists the usage of customers, for instances that start after all others have ended.
 type UsageStore interface {
-	// SaveUsage replaces the stored usage.
-	SaveUsage(ctx context.Context, usage []SavedUsage) error
+	// SaveUsage replaces the stored usage, which is saved with an age of 0.
+	SaveUsage(ctx context.Context, usage SavedUsages) error
 	// LoadUsage returns the stored usage; the error is ErrNotFound if none is stored.
 	LoadUsage(ctx context.Context) (SavedUsages, error)
 }
--- a/test/limits/fleet_test.go
+++ b/test/limits/fleet_test.go
@@ -35,7 +35,7 @@
 	down    bool
 	delay   time.Duration
 	listed  []shelfshelf.Instance
-	saved   []shelfshelf.SavedUsage
+	saved   shelfshelf.SavedUsages
 	savedAt time.Time
 }
 
@@ -98,7 +98,7 @@
 }
 
 // SaveUsage saves to the store.
-func (i *instance) SaveUsage(ctx context.Context, usage []shelfshelf.SavedUsage) error {
+func (i *instance) SaveUsage(ctx context.Context, usage shelfshelf.SavedUsages) error {
 	if err := i.callStore(ctx); err != nil {
 		return err
 	}
@@ -128,7 +128,9 @@
 	if s.savedAt.IsZero() {
 		return shelfshelf.SavedUsages{}, shelfshelf.ErrNotFound
 	}
-	return shelfshelf.SavedUsages{Usage: s.saved, Age: i.fleet.clock.Now().Sub(s.savedAt)}, nil
+	saved := s.saved
+	saved.Age = i.fleet.clock.Now().Sub(s.savedAt)
+	return saved, nil
 }
 
 func (i *instance) callStore(ctx context.Context) error {
--- a/test/limits/limits_test.go
+++ b/test/limits/limits_test.go
@@ -130,3 +130,34 @@
 		c.run(recovery)
 	})
 }
+
+// All instances are killed after the store has not answered for a while, so that what a customer used
+// since the last save is unknown. What was saved is not all that was used.
+func TestFailedSavesBeforeARestartOfAllKeepTheLimit(t *testing.T) {
+	checkLimit(t, func(f *fleet, c *callers) {
+		f.store.set(true, storeDelay)
+		c.run(500 * time.Millisecond)
+		c.demand = 1.5
+		c.run(2200 * time.Millisecond)
+		f.killAll()
+		c.run(500 * time.Millisecond)
+		f.store.set(false, storeDelay)
+		f.startAll()
+		c.run(recovery)
+	})
+}
+
+// All instances are killed twice within a window, at any time after the last save and for any time.
+func TestRestartsOfAllKeepTheLimit(t *testing.T) {
+	checkLimit(t, func(f *fleet, c *callers) {
+		c.demand = f.hot()
+		c.run(f.between(300*time.Millisecond, 4300*time.Millisecond))
+		for range 2 {
+			f.killAll()
+			c.run(f.between(200*time.Millisecond, 1200*time.Millisecond))
+			f.startAll()
+			c.run(f.between(time.Second, 3*time.Second))
+		}
+		c.run(recovery)
+	})
+}
