quota: a charge stays in the window as long as its request is in it

What callers saw: 8 s after a restart of all, a customer got up to 1.2 of its limit, as the burst of callers that had waited left the window too early, at all instances at once.

Cause: an interval of 0.1 s was dropped as soon as its beginning was a window old, so that what came at its end left up to 0.1 s early. In a steady flow that is nothing; a burst of 0.3 of the limit in one interval is given out again while it is still in the window.

An interval now counts until all of it has left. So that customers don't pay for it, intervals are half as long: 0.05 s, 25 ms too much on average, 0.3 of a hundred.

--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -78,3 +78,26 @@
 		t.Errorf("%.0f still assumed of %.0f", got, assumed)
 	}
 }
+
+// A charge stays in the window as long as its request is in it. It left with the beginning of its
+// interval, up to 0.1 s early, and a burst with it: after a restart of all, the burst of callers that had
+// waited left it at all instances at once.
+func TestChargesStayForTheWholeWindow(t *testing.T) {
+	customer := limitedCustomer(1000)
+	for offset := time.Duration(0); offset < 100*time.Millisecond; offset += 9 * time.Millisecond {
+		f := newFleet(1)
+		f.ledgers[0].Slack = 0
+		f.clock.Advance(window + offset)
+		if !f.ledgers[0].Charge(customer, 9000).OK {
+			t.Fatal("the burst is refused")
+		}
+		f.clock.Advance(window - time.Millisecond)
+		if v := f.ledgers[0].Charge(customer, 1000); v.OK {
+			t.Errorf("%v after the start of an interval: %+v", offset, v)
+		}
+		f.clock.Advance(52 * time.Millisecond)
+		if v := f.ledgers[0].Charge(customer, 9000); !v.OK {
+			t.Errorf("%v after the start of an interval: %+v", offset, v)
+		}
+	}
+}
--- a/quota/window.go
+++ b/quota/window.go
@@ -2,12 +2,16 @@
 
 import "time"
 
-// intervalCount is the number of intervals in the window. Usage expires one interval at a time.
-const intervalCount = 80
+const (
+	// intervalCount is the number of intervals in the window. Usage expires one interval at a time.
+	intervalCount = 160
+	// keptIntervals is one more, since usage counts until all of its interval has left the window.
+	keptIntervals = intervalCount + 1
+)
 
 // slidingWindow counts recent usage in intervals of equal length.
 type slidingWindow struct {
-	used [intervalCount]float64
+	used [keptIntervals]float64
 	sum  float64
 	// newest is the number of the newest interval. Intervals are numbered from the ledger's start.
 	newest int64
@@ -15,13 +19,13 @@
 
 // advance moves the window on to an interval and drops the usage that has expired.
 func (w *slidingWindow) advance(interval int64) {
-	if interval-w.newest >= intervalCount {
+	if interval-w.newest >= keptIntervals {
 		*w = slidingWindow{newest: interval}
 		return
 	}
 	for w.newest < interval {
 		w.newest++
-		i := w.newest % intervalCount
+		i := w.newest % keptIntervals
 		w.sum -= w.used[i]
 		w.used[i] = 0
 	}
@@ -29,19 +33,19 @@
 
 // add counts usage in an interval, unless that has left the window. A negative amount is a refund.
 func (w *slidingWindow) add(interval int64, amount float64) {
-	if interval <= w.newest-intervalCount || interval > w.newest {
+	if interval <= w.newest-keptIntervals || interval > w.newest {
 		return
 	}
-	w.used[interval%intervalCount] += amount
+	w.used[interval%keptIntervals] += amount
 	w.sum += amount
 }
 
 // sumOfNewest returns the usage in the newest count intervals.
 func (w *slidingWindow) sumOfNewest(count int64) float64 {
 	sum := 0.0
-	for i := range min(count, intervalCount) {
+	for i := range min(count, keptIntervals) {
 		if interval := w.newest - i; interval >= 0 {
-			sum += w.used[interval%intervalCount]
+			sum += w.used[interval%keptIntervals]
 		}
 	}
 	return sum
@@ -49,13 +53,13 @@
 
 // intervalsUntilFreed returns after how many intervals the given amount of usage has expired.
 func (w *slidingWindow) intervalsUntilFreed(amount float64) int64 {
-	for i := int64(1); i <= intervalCount; i++ {
-		amount -= w.used[(w.newest+i)%intervalCount]
+	for i := int64(1); i <= keptIntervals; i++ {
+		amount -= w.used[(w.newest+i)%keptIntervals]
 		if amount <= 0 {
 			return i
 		}
 	}
-	return intervalCount
+	return keptIntervals
 }
 
 // intervalNumber returns the number of the interval that is current when elapsed has passed since the
@@ -68,9 +72,9 @@
 // intervals.
 func (w *slidingWindow) byAge() usageByAge {
 	var u usageByAge
-	for i := range int64(intervalCount) {
+	for i := range int64(keptIntervals) {
 		if interval := w.newest - i; interval >= 0 {
-			u[i*int64(len(u))/intervalCount] += w.used[interval%intervalCount]
+			u[min(i*int64(len(u))/intervalCount, int64(len(u))-1)] += w.used[interval%keptIntervals]
 		}
 	}
 	return u
