gateway: a request counts against its customer's limit from its last send

What callers saw: nothing by itself; a customer got more than its limit where targets refused or failed requests that others ran later.

Cause: a charge was moved to the first send only. A request that was refused (queue full, 'not run') or failed at one target and ran at another seconds later left the window by its first send, while its run was still in it. The class: what was not reported or recorded again was taken for nothing.

Each send moves the charge now. A request that may have run twice still counts once, as the users' rule counts requests: until the second send by the first one, then by the second.

The stand-in of a target waits before a refusal where it is told to answer late.

--- a/fake/server.go
+++ b/fake/server.go
@@ -144,6 +144,7 @@
 	number, rests := s.speak(w.Header(), r)
 	defer s.answered(number, r)
 	if faults.Refuse || rests {
+		pause(r.Context(), faults.Late)
 		w.Header().Set("X-Shelfshelf-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -345,10 +345,8 @@
 	if c.customer != nil {
 		attempt.Customer = c.customer.Name
 	}
-	if c.sentAttempts == 0 {
-		c.charge = c.server.Quota.Recharge(c.charge)
-		c.chargedAt = c.server.Clock.Now()
-	}
+	c.charge = c.server.Quota.Recharge(c.charge)
+	c.chargedAt = c.server.Clock.Now()
 	response, err := c.server.Upstream.Send(ctx, lease.Target.Address, upstream.Request{
 		ID:            c.call.ID,
 		Target:        lease.Target,
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -221,7 +221,8 @@
 }
 
 // Recharge makes a charge count from now on, the time its request is sent, since the request may have
-// waited after it was charged. Usage counts from when a target runs the request.
+// waited after it was charged. Usage counts from when a target runs the request. One that is sent again
+// counts once, from the last time: until then it counted from the earlier one.
 func (l *Ledger) Recharge(charge Charge) Charge {
 	if charge.cost == 0 {
 		return charge
