gossip, node: another data centre acts with the store where the first by name has lost it

What callers saw: what customers used was not saved for as long as the instances of one data centre could not reach the store; a restart of all then knew nothing of it.

Cause: one instance of all saves, the first of the first live data centre by name. Within a data centre one that can't read the store is passed over; a whole data centre that can't was not.

Now such a data centre is passed over too, unless this one has lost the store as well: then nobody gains by more tries.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -91,6 +91,8 @@
 	dataCentres map[shelfshelf.DataCentre]*dataCentreState
 	sequence    uint64
 	leaving     bool
+	// sourceLost says that this instance's reads of the store failed as it last sent a status.
+	sourceLost bool
 	// selfMember is this instance as a member of its data centre.
 	selfMember shelfshelf.Member
 	// localPeers is the number of other instances in this data centre that are not dormant. aggregators
@@ -269,6 +271,7 @@
 	if aggregating {
 		room -= maxDigestSize(ownDigest)
 	}
+	n.sourceLost = status.StoreUnreachable
 	status.Digests = n.takePendingDigests(now, room)
 	if aggregating {
 		status.Digests = append(status.Digests, ownDigest)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -27,7 +27,7 @@
 
 // leads reports that this instance does what one of all has to do.
 func (n *Node) leads() bool {
-	return n.gossip.IsFirst() && n.gossip.IsLeadingDataCentre(1) && !n.stopping.Load()
+	return n.gossip.ActsForAll() && !n.stopping.Load()
 }
 
 // Status returns what this instance tells the others.
--- a/test/limits/fleet_test.go
+++ b/test/limits/fleet_test.go
@@ -90,9 +90,11 @@
 	cancel    context.CancelFunc
 	ended     sync.WaitGroup
 	up        bool
-	// cutOff says that it is cut off from the store too.
-	cutOff bool
-	stall  *stall
+	// cutOff says that it is cut off from all others and the store, and storeLost that it is from the
+	// store.
+	cutOff    bool
+	storeLost bool
+	stall     *stall
 	// queued are the requests that wait while its process stands still.
 	queued []waitingRequest
 }
@@ -134,7 +136,7 @@
 }
 
 func (i *instance) callStore(ctx context.Context) error {
-	if i.cutOff {
+	if i.cutOff || i.storeLost {
 		<-i.fleet.clock.After(loadRetryDelay)
 		return shelfshelf.ErrUnavailable
 	}
@@ -144,7 +146,7 @@
 // Status returns what this instance tells the others of its data centre.
 func (i *instance) Status() shelfshelf.Status {
 	return shelfshelf.Status{
-		Revision: 1, StoreUnreachable: i.cutOff || i.fleet.store.isDown(),
+		Revision: 1, StoreUnreachable: i.cutOff || i.storeLost || i.fleet.store.isDown(),
 		WindowObserved: i.ledger.WindowObserved(), UsageRestored: i.ledger.Restored(),
 		Usage: i.ledger.LocalUsage(), EndedUsage: i.ledger.EndedUsage(),
 	}
@@ -255,7 +257,7 @@
 	i.ledger.Start()
 	saver := &quota.UsageSaver{
 		Clock: f.clock, Log: silent, Ledger: i.ledger, Store: i, OnRestored: i.gossip.SendNow,
-		IsSaver: func() bool { return i.gossip.IsFirst() && i.gossip.IsLeadingDataCentre(1) },
+		IsSaver: i.gossip.ActsForAll,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
--- a/test/limits/limits_test.go
+++ b/test/limits/limits_test.go
@@ -161,3 +161,17 @@
 		c.run(recovery)
 	})
 }
+
+// The data centre whose instances save the usage loses the store, alone. Another one must save it: all may
+// end before the store is back there.
+func TestUsageIsSavedWhereTheSavingDataCentreLosesTheStore(t *testing.T) {
+	checkLimit(t, func(f *fleet, c *callers) {
+		for _, i := range f.instances {
+			i.storeLost = i.self.DataCentre == "a"
+		}
+		c.run(3 * time.Second)
+		if age := f.clock.Now().Sub(f.store.savedAt); age > 2*time.Second {
+			f.t.Errorf("nothing was saved for %v", age)
+		}
+	})
+}
