--- a/quota/quota.go
+++ b/quota/quota.go
@@ -34,7 +34,8 @@
 	// Window is the length of the window in which a customer may use its rate times this length, plus
 	// its burst. 0 means the default.
 	Window time.Duration
-	// Slack is how many tokens all instances together may admit beyond a limit.
+	// Slack is how many tokens all instances together may admit beyond a limit. Limits in requests have
+	// none.
 	Slack float64
 	// Instances returns how many instances there are and how many of them are live.
 	Instances func() (known, live int)
@@ -181,7 +182,10 @@
 	intervalLength := l.Window / intervalCount
 	unreported := a.ownUsage.sumOfNewest(int64(delay/intervalLength) + 1)
 	remaining := v.Allowed*v.Share - (v.Used - unreported)
-	evenShare := remaining/instances - unreported + l.Slack*usableSlackFraction/instances
+	evenShare := remaining/instances - unreported
+	if a.tokens {
+		evenShare += l.Slack * usableSlackFraction / instances
+	}
 	allReported := l.Unheard == nil || l.Unheard() == 0
 	withinSingle := allReported && unreported == 0 && v.Cost <= remaining*singleRequestFraction
 	withinExpected := allReported && !v.RecentlyRefused && v.Cost <= remaining-unreported-v.ExpectedElsewhere
