quota: usage outlives a change of a limit's unit

Cause: an account counted in the limit's unit only, and was replaced where the unit differed.

Own usage is counted in both units now, and a charge holds both. For as long as instances differ in their configuration, reports of the other unit are added as they are: that lasts for some statuses, 0.1 to 0.3 s, and the rule leaves a window after a change.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -65,20 +65,6 @@
 	restoreDone bool
 }
 
-// account is what a customer has used at this instance, in the unit of its limit, and an estimate of
-// its demand at the others. It is protected by Ledger.mu.
-type account struct {
-	tokens   bool
-	ownUsage slidingWindow
-	// lastReported is the own usage in the last status to the other instances.
-	lastReported float64
-	// allowed is the limit at the latest charge, and rate the part of it that grows with the window, a
-	// second.
-	allowed float64
-	rate    float64
-	demand  demandEstimator
-}
-
 // Start records when the instance begins to serve, and prepares the ledger for use.
 func (l *Ledger) Start() {
 	l.mu.Lock()
@@ -131,16 +117,11 @@
 		return verdict
 	}
 	verdict.OK = true
-	verdict.Charge = a.charge(key, verdict.Cost)
+	verdict.Charge = Charge{customer: key, tokens: float64(tokens), requests: 1, interval: a.own().newest}
+	a.take(verdict.Charge, 1)
 	return verdict
 }
 
-// charge records a cost as used now.
-func (a *account) charge(key shelfshelf.CustomerKey, cost float64) Charge {
-	a.ownUsage.add(a.ownUsage.newest, cost)
-	return Charge{customer: key, tokens: a.tokens, cost: cost, interval: a.ownUsage.newest}
-}
-
 // MaxRecentFraction returns the largest part of its limit that any customer has used since the given
 // time, at most one window ago, if the other instances have admitted as much as this one.
 func (l *Ledger) MaxRecentFraction(since time.Time) float64 {
@@ -151,8 +132,8 @@
 	known, _ := l.Instances()
 	for _, a := range l.accounts {
 		if a.allowed > 0 {
-			a.ownUsage.advance(intervalNumber(l.Clock.Now().Sub(l.start), l.Window))
-			recent := a.ownUsage.sumOfNewest(int64(l.Clock.Now().Sub(since) / intervalLength))
+			a.advance(l.currentInterval())
+			recent := a.own().sumOfNewest(int64(l.Clock.Now().Sub(since) / intervalLength))
 			largest = max(largest, recent*float64(max(known, 1))/a.allowed)
 		}
 	}
@@ -180,7 +161,7 @@
 func (l *Ledger) decide(a *account, v Verdict, delay time.Duration) (Rule, time.Duration) {
 	instances := float64(v.Live)
 	intervalLength := l.Window / intervalCount
-	unreported := a.ownUsage.sumOfNewest(int64(delay/intervalLength) + 1)
+	unreported := a.own().sumOfNewest(int64(delay/intervalLength) + 1)
 	remaining := v.Allowed*v.Share - (v.Used - unreported)
 	evenShare := remaining/instances - unreported
 	if a.tokens {
@@ -200,13 +181,13 @@
 		// Only the share of this instance is used up: retry after the next reports.
 		return RuleRefused, delay
 	}
-	return RuleRefused, time.Duration(a.ownUsage.intervalsUntilFreed((v.Cost-(remaining-unreported))/instances)) * intervalLength
+	return RuleRefused, time.Duration(a.own().intervalsUntilFreed((v.Cost-(remaining-unreported))/instances)) * intervalLength
 }
 
 // estimateDemand sets the verdict's ExpectedElsewhere and RecentlyRefused. The caller must hold l.mu.
 func (l *Ledger) estimateDemand(a *account, v *Verdict, delay time.Duration) {
 	now := l.Clock.Now()
-	others := v.Used - a.ownUsage.sum
+	others := v.Used - a.own().sum
 	if a.demand.sampleDue(now) {
 		a.demand.addSample(others, now)
 	}
@@ -216,48 +197,57 @@
 
 // Refund takes back the charge of a request that did not run.
 func (l *Ledger) Refund(charge Charge) {
-	if charge.cost == 0 {
+	if charge.requests == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.account(charge.customer, charge.tokens).ownUsage.add(charge.interval, -charge.cost)
+	l.accountOf(charge.customer).take(charge, -1)
 }
 
 // Recharge makes a charge count from now on, the time its request is sent, since the request may have
 // waited after it was charged. Usage counts from when a target runs the request. One that is sent again
 // counts once, from the last time: until then it counted from the earlier one.
 func (l *Ledger) Recharge(charge Charge) Charge {
-	if charge.cost == 0 {
+	if charge.requests == 0 {
 		return charge
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.account(charge.customer, charge.tokens)
-	a.ownUsage.add(charge.interval, -charge.cost)
-	return a.charge(charge.customer, charge.cost)
+	a := l.accountOf(charge.customer)
+	a.take(charge, -1)
+	charge.interval = a.own().newest
+	a.take(charge, 1)
+	return charge
 }
 
-// cost returns what a request costs in the unit of the limit.
-func (a *account) cost(tokens int) float64 {
-	if a.tokens {
-		return float64(tokens)
+// account returns a customer's account for a limit in the given unit, with expired usage removed. The
+// caller must hold l.mu.
+func (l *Ledger) account(key shelfshelf.CustomerKey, tokens bool) *account {
+	a := l.accountOf(key)
+	if a.tokens != tokens {
+		a.setUnit(tokens)
 	}
-	return 1
+	return a
 }
 
-// account returns a customer's account with expired usage removed. It starts a new one if there is none
-// or the unit of the limit has changed. The caller must hold l.mu.
-func (l *Ledger) account(key shelfshelf.CustomerKey, tokens bool) *account {
+// accountOf returns a customer's account with expired usage removed, a new one if there is none. The
+// caller must hold l.mu.
+func (l *Ledger) accountOf(key shelfshelf.CustomerKey) *account {
 	a := l.accounts[key]
-	if a == nil || a.tokens != tokens {
-		a = &account{tokens: tokens}
+	if a == nil {
+		a = &account{}
 		l.accounts[key] = a
 	}
-	a.ownUsage.advance(intervalNumber(l.Clock.Now().Sub(l.start), l.Window))
+	a.advance(l.currentInterval())
 	return a
 }
 
+// currentInterval returns the number of the window's interval that is current. The caller must hold l.mu.
+func (l *Ledger) currentInterval() int64 {
+	return intervalNumber(l.Clock.Now().Sub(l.start), l.Window)
+}
+
 // LocalUsage returns what customers have used at this instance, for its next status, and records it as
 // reported.
 func (l *Ledger) LocalUsage() []shelfshelf.CustomerUsage {
@@ -265,13 +255,13 @@
 	defer l.mu.Unlock()
 	var usage []shelfshelf.CustomerUsage
 	for key, a := range l.accounts {
-		a.ownUsage.advance(intervalNumber(l.Clock.Now().Sub(l.start), l.Window))
+		a.advance(l.currentInterval())
 		if now := l.Clock.Now(); a.demand.sampleDue(now) {
-			a.demand.addSample(l.totalUsage(key, a)-a.ownUsage.sum, now)
+			a.demand.addSample(l.totalUsage(key, a)-a.own().sum, now)
 		}
-		a.lastReported = a.ownUsage.sum
-		if a.ownUsage.sum > 0 {
-			usage = append(usage, shelfshelf.CustomerUsage{Customer: key, Amount: a.ownUsage.sum})
+		a.lastReported = a.own().sum
+		if a.own().sum > 0 {
+			usage = append(usage, shelfshelf.CustomerUsage{Customer: key, Amount: a.own().sum})
 		}
 	}
 	return usage
--- a/quota/received.go
+++ b/quota/received.go
@@ -108,7 +108,7 @@
 	for _, use := range usage {
 		var shape usageByAge
 		if a := l.accounts[use.Customer]; a != nil {
-			shape = a.ownUsage.byAge()
+			shape = a.own().byAge()
 		}
 		s.usage[use.Customer] = newUsageBuckets(shape.scaledTo(use.Amount))
 	}
--- a/quota/unit_test.go
+++ b/quota/unit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/quota"
@@ -30,3 +31,27 @@
 		t.Errorf("%d requests admitted of 9 allowed", admitted)
 	}
 }
+
+// What a customer used still counts after the unit of its limit has changed, and a refund that was charged
+// in the other unit takes back what it charged.
+func TestUsageOutlivesAChangeOfTheUnit(t *testing.T) {
+	inRequests, inTokens := customerInRequests(10), limitedCustomer(1000)
+	f := newFleet(1)
+	l := observedLedger(f)
+	l.Slack = 0
+	for range 20 {
+		l.Charge(inRequests, 200)
+	}
+	refused := l.Charge(inRequests, 200)
+	if used := l.Charge(inTokens, 0).Used; used != 21*200 {
+		t.Errorf("%.0f tokens used, 4200 of them under a limit in requests", used)
+	}
+	l.Refund(refused.Charge)
+	f.clock.Advance(time.Second)
+	if used := l.Charge(inTokens, 0).Used; used != 20*200 {
+		t.Errorf("%.0f tokens used after a refund of 200", used)
+	}
+	if used := l.Charge(inRequests, 0).Used; used < 20 || used > 22 {
+		t.Errorf("%.0f requests used of 20 and two without tokens", used)
+	}
+}
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -9,7 +9,7 @@
 // totalUsage returns what a customer has used at all instances. The caller must hold l.mu.
 func (l *Ledger) totalUsage(key shelfshelf.CustomerKey, a *account) float64 {
 	now := l.Clock.Now()
-	used := a.ownUsage.sum + max(l.reportedUsage(key, a, now), l.digestUsage(key, a, now))
+	used := a.own().sum + max(l.reportedUsage(key, a, now), l.digestUsage(key, a, now))
 	for centre, s := range l.remotes {
 		used += max(s.remaining(key, now), l.remainingSaved(centre, key, now).total())
 	}
@@ -150,8 +150,8 @@
 func (l *Ledger) dataCentreTotals(now time.Time) map[shelfshelf.CustomerKey]usageByAge {
 	totals := make(map[shelfshelf.CustomerKey]usageByAge)
 	for key, a := range l.accounts {
-		a.ownUsage.advance(intervalNumber(now.Sub(l.start), l.Window))
-		totals[key] = totals[key].plus(a.ownUsage.byAge())
+		a.advance(l.currentInterval())
+		totals[key] = totals[key].plus(a.own().byAge())
 	}
 	for _, s := range l.peers {
 		s.addToTotals(totals, now)
--- a/quota/verdict.go
+++ b/quota/verdict.go
@@ -56,8 +56,9 @@
 // Charge is a charge in the ledger.
 type Charge struct {
 	customer shelfshelf.CustomerKey
-	tokens   bool
-	cost     float64
+	tokens   float64
+	// requests is 1, or 0 if nothing was charged.
+	requests float64
 	// interval is the number of the window's interval in which the charge counts.
 	interval int64
 }
