quota: an even share is taken once until the others report

Cause: the even share is of what remains now, less what was used here and not reported yet, and all use older than the report delay counted as reported. Without reports it is not, and the others' is not known either.

While others have not been heard, all own use since the start counts as unreported.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -162,12 +162,16 @@
 	instances := float64(v.Live)
 	intervalLength := l.Window / intervalCount
 	unreported := a.own().sumOfNewest(int64(delay/intervalLength) + 1)
+	allReported := l.Unheard == nil || l.Unheard() == 0
+	if !allReported {
+		// The others may not have heard from this instance either.
+		unreported = a.own().sum
+	}
 	remaining := v.Allowed*v.Share - (v.Used - unreported)
 	evenShare := remaining/instances - unreported
 	if a.tokens {
 		evenShare += l.Slack * usableSlackFraction / instances
 	}
-	allReported := l.Unheard == nil || l.Unheard() == 0
 	withinSingle := allReported && unreported == 0 && v.Cost <= remaining*singleRequestFraction
 	withinExpected := allReported && !v.RecentlyRefused && v.Cost <= remaining-unreported-v.ExpectedElsewhere
 	switch {
