gossip: instances that can't read who is listed go on assuming others

The log of charges shows each instance by itself, instances 1, live 1, taking the rest that is assumed for all.

Cause: the guess of how many others there are ended a second after the start, read or not.

It now holds until the instances of all data centres are known, and is at least two a data centre while not even the own one's have been read.

--- a/gossip/census.go
+++ b/gossip/census.go
@@ -6,6 +6,10 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
+// guessedLocal is how many instances a data centre is assumed to have at least while the directory has
+// not been read.
+const guessedLocal = 2
+
 // Census counts the instances, including this one.
 type Census struct {
 	// Known is the number of instances that exist or existed recently.
@@ -38,7 +42,7 @@
 	for centre, listed := range listedRemotes {
 		census.add(n.countRemotes(centre, listed, now))
 	}
-	if n.isStarting(now) && !n.remotesKnown {
+	if !n.remotesKnown {
 		census.add(n.guessUnlisted(local.Known, len(listedRemotes)))
 	}
 	return census
@@ -79,9 +83,14 @@
 }
 
 // guessUnlisted returns the counts of instances that this one can't know of yet, since it has not read
-// who is listed: as many in each of the remaining data centres as in this one. The caller must hold n.mu.
+// who is listed: so many in each of the remaining data centres as in this one, where guessedLocal is the
+// least that is assumed here. The caller must hold n.mu.
 func (n *Node) guessUnlisted(local, listedCentres int) Census {
-	unlisted := local * max(len(n.DataCentres)-1-listedCentres, 0)
+	guessed := local
+	if n.directoryReadAt.IsZero() && len(n.DataCentres) > 0 {
+		guessed = max(local, guessedLocal)
+	}
+	unlisted := guessed*max(len(n.DataCentres)-1-listedCentres, 0) + guessed - local
 	return Census{Known: unlisted, Live: unlisted, Unheard: unlisted + 1}
 }
 
--- a/gossip/census_test.go
+++ b/gossip/census_test.go
@@ -42,7 +42,10 @@
 			t.Errorf("%s: %+v, want %+v", what, got, want)
 		}
 	}
-	check("nothing is listed", Census{Known: 3, Live: 3, LiveLocal: 1, Unheard: 3})
+	check("nothing is listed", Census{Known: 6, Live: 6, LiveLocal: 1, Unheard: 6})
+	clock.Advance(SilentAfter)
+	check("nothing can be listed for long", Census{Known: 6, Live: 6, LiveLocal: 1, Unheard: 6})
+	n.startedAt, n.directoryReadAt = clock.Now(), clock.Now()
 	n.addPeers(listed("a", 1))
 	check("its data centre is listed", Census{Known: 6, Live: 6, LiveLocal: 1, Unheard: 6})
 	n.addPeers(listed("b", 2))
--- a/test/limits/limits_test.go
+++ b/test/limits/limits_test.go
@@ -175,3 +175,19 @@
 		}
 	})
 }
+
+// All instances restart while the store does not answer: they know neither each other nor what was used.
+// No instance may take the whole limit for its own.
+func TestRestartsOfAllWithoutTheStoreKeepTheLimit(t *testing.T) {
+	checkLimit(t, func(f *fleet, c *callers) {
+		c.demand = 2.5
+		c.run(2500 * time.Millisecond)
+		f.killAll()
+		f.store.set(true, storeDelay)
+		c.run(500 * time.Millisecond)
+		f.startAll()
+		c.run(2 * time.Second)
+		f.store.set(false, storeDelay)
+		c.run(recovery)
+	})
+}
