quota: usage that peers report as ended counts where nothing was saved

Cause: what peers report of ended instances was only looked at beside saved usage. It counts in either case now, with what has to be assumed for those that nobody heard.

TestRestartedInstanceLearnsUsageFromPeers did not show it, since its statuses carry no ended usage.

--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -101,3 +101,22 @@
 		}
 	}
 }
+
+// Where nothing was saved, a restarted instance still learns from peers what its earlier incarnation used. It
+// assumed its even part only: 3,000 of 6,000.
+func TestEndedUsageOfPeersCountsWhereNothingWasSaved(t *testing.T) {
+	f := newMultiCentreFleet()
+	for _, id := range []shelfshelf.InstanceID{"a1", "a2", "a3", "a4"} {
+		f.start(id).RestoreNone()
+	}
+	f.clock.Advance(window)
+	customer := limitedCustomer(1000)
+	f.ledgers["a2"].Charge(customer, 6000)
+	f.exchangeStatuses()
+	f.start("a2").RestoreNone()
+	f.exchangeStatuses()
+	f.exchangeStatuses()
+	if v := f.ledgers["a2"].Charge(customer, 0); v.Used < 6000 {
+		t.Errorf("%.0f of 6000 counted", v.Used)
+	}
+}
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -91,11 +91,11 @@
 	known, _ := l.Instances()
 	withoutWindowObserved := max(1, known-l.instancesWithWindowObserved())
 	share := float64(withoutWindowObserved) / float64(max(known, 1))
-	if l.saved == nil {
-		fraction := max(0, 1-float64(now.Sub(l.start))/float64(l.Window))
-		return a.allowed * fraction * share
+	missing := a.allowed * max(0, 1-float64(now.Sub(l.start))/float64(l.Window))
+	if l.saved != nil {
+		missing = l.missingUsage(key, a, now)
 	}
-	return min(l.endedUsage(key, now).total()+l.missingUsage(key, a, now)*share, a.allowed)
+	return min(l.endedUsage(key, now).total()+missing*share, a.allowed)
 }
 
 // instancesWithWindowObserved returns how many of the other instances have run for at least one window.
