--- a/quota/received.go
+++ b/quota/received.go
@@ -59,13 +59,16 @@
 	l.endedIncarnations = slices.DeleteFunc(l.endedIncarnations, func(s *receivedUsage) bool { return now.Sub(s.updatedAt) >= l.Window })
 }
 
-// ApplyDigest records the usage in the digest of a data centre. The sender may have started lately and
+// ApplyDigest records the usage in the digest of a data centre, unless a newer one is known. The sender may have started lately and
 // not know all of it. Where its digest has less than what remains of the previous one, the previous one
 // still counts, since usage only shrinks by expiry.
 func (l *Ledger) ApplyDigest(digest shelfshelf.Digest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := l.Clock.Now().Add(-digest.Age)
+	if l.hasNewerDigest(digest.DataCentre, at) {
+		return
+	}
 	if digest.DataCentre == l.DataCentre {
 		l.ownDigest = l.newReceivedUsage(l.ownDigest, 0, at, digest.WindowObserved, digest.Usage)
 		return
@@ -88,6 +91,16 @@
 	l.remotes[digest.DataCentre] = s
 }
 
+// hasNewerDigest reports whether a digest of a data centre that was made after an instant is known. The
+// caller must hold l.mu.
+func (l *Ledger) hasNewerDigest(centre shelfshelf.DataCentre, at time.Time) bool {
+	latest := l.remotes[centre]
+	if centre == l.DataCentre {
+		latest = l.ownDigest
+	}
+	return latest != nil && latest.updatedAt.After(at)
+}
+
 // newReceivedUsage merges reported usage into that of the previous report and returns the result.
 // Reports carry totals without times: growth since the previous report counts as used since then. The
 // usage in a first report is assumed to be distributed over the window like the customer's usage at
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -120,3 +120,22 @@
 		t.Errorf("%.0f of 6000 counted", v.Used)
 	}
 }
+
+// A digest that is overtaken by a newer one doesn't replace it.
+func TestLateDigestsAreIgnored(t *testing.T) {
+	f := newMultiCentreFleet()
+	l := f.start("a1")
+	f.clock.Advance(window)
+	customer := limitedCustomer(1000)
+	digest := func(age time.Duration, amount float64) shelfshelf.Digest {
+		return shelfshelf.Digest{
+			DataCentre: "b", Age: age, Instances: 1, WindowObserved: true,
+			Usage: []shelfshelf.CustomerUsage{{Customer: shelfshelf.KeyOfCustomer(customer.Name), Amount: amount}},
+		}
+	}
+	l.ApplyDigest(digest(0, 5000))
+	l.ApplyDigest(digest(500*time.Millisecond, 1000))
+	if v := l.Charge(customer, 0); v.Used != 5000 {
+		t.Errorf("%.0f counted after a late digest of 1000, 5000 before", v.Used)
+	}
+}
