quota: usage at other instances makes a save urgent

What callers saw: nothing by itself. What a customer used at other instances waited up to a second for the next save, and was gone with a restart of all.

The growth of a customer's total since the last save counts as well. A customer that never asked the saving instance is not seen yet, since its limit isn't known there: the gap that a restart assumes covers a save interval.

--- a/quota/account.go
+++ b/quota/account.go
@@ -17,6 +17,8 @@
 	allowed float64
 	rate    float64
 	demand  demandEstimator
+	// totalAtSave is the usage at all instances as of the last save by this one.
+	totalAtSave float64
 }
 
 // ownReport is the own usage that was reported at a time.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -124,24 +124,6 @@
 	return verdict
 }
 
-// MaxRecentFraction returns the largest part of its limit that any customer has used since the given
-// time, at most one window ago, if the other instances have admitted as much as this one.
-func (l *Ledger) MaxRecentFraction(since time.Time) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	intervalLength := l.Window / intervalCount
-	largest := 0.0
-	known, _ := l.Instances()
-	for _, a := range l.accounts {
-		if a.allowed > 0 {
-			a.advance(l.currentInterval())
-			recent := a.own().sumOfNewest(int64(l.Clock.Now().Sub(since) / intervalLength))
-			largest = max(largest, recent*float64(max(known, 1))/a.allowed)
-		}
-	}
-	return largest
-}
-
 // WindowObserved reports whether this instance has run for at least one window.
 func (l *Ledger) WindowObserved() bool {
 	l.mu.Lock()
--- a/quota/saved.go
+++ b/quota/saved.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/shelfshelf/shelfshelf"
 )
@@ -110,3 +111,34 @@
 	}
 	return customerUsage(totals)
 }
+
+// RecordSave records what customers have used in total as of a save.
+func (l *Ledger) RecordSave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, a := range l.accounts {
+		a.advance(l.currentInterval())
+		a.totalAtSave = l.totalUsage(key, a)
+	}
+}
+
+// MaxRecentFraction returns the largest part of its limit that any customer has used since the last
+// recorded save, which was at the given time: the growth of its total, or what it used here if the other
+// instances have admitted as much, at most one window ago.
+func (l *Ledger) MaxRecentFraction(since time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	intervals := int64(l.Clock.Now().Sub(since) / (l.Window / intervalCount))
+	known, _ := l.Instances()
+	largest := 0.0
+	for key, a := range l.accounts {
+		if a.allowed == 0 {
+			continue
+		}
+		a.advance(l.currentInterval())
+		alike := a.own().sumOfNewest(intervals) * float64(max(known, 1))
+		growth := l.totalUsage(key, a) - a.totalAtSave
+		largest = max(largest, alike/a.allowed, growth/a.allowed)
+	}
+	return largest
+}
--- a/quota/saver.go
+++ b/quota/saver.go
@@ -98,6 +98,7 @@
 			continue
 		}
 		lastSave = now
+		s.Ledger.RecordSave()
 		s.save(ctx)
 	}
 }
--- a/quota/share_test.go
+++ b/quota/share_test.go
@@ -65,3 +65,24 @@
 		t.Errorf("%.0f counted: 21000 here, and 10000 by the others according to a digest 0.8 s old", v.Used)
 	}
 }
+
+// Usage at other instances makes a save urgent too. The saving instance took it to be like its own, so that a
+// customer whose callers come to another instance waited for the next save.
+func TestUsageElsewhereIsUrgent(t *testing.T) {
+	f := newFleet(7)
+	f.clock.Advance(window)
+	customer := limitedCustomer(10000)
+	saver := f.ledgers[0]
+	saver.Charge(customer, 100)
+	f.idle(time.Second)
+	since := f.clock.Now()
+	saver.RecordSave()
+	if got := saver.MaxRecentFraction(since); got > 0.01 {
+		t.Errorf("%.2f of the limit used since a save", got)
+	}
+	f.ledgers[5].Charge(customer, 27000)
+	f.idle(delay)
+	if got := saver.MaxRecentFraction(since); got < 0.29 || got > 0.31 {
+		t.Errorf("%.2f of the limit used since a save, 0.3 of it at another instance", got)
+	}
+}
