gossip: who has heard all data centres waits for no list

Now only data centres that are not known at all, and a list of the own one that was never read, keep it waiting.

--- a/gossip/census.go
+++ b/gossip/census.go
@@ -86,12 +86,18 @@
 // who is listed: so many in each of the remaining data centres as in this one, where guessedLocal is the
 // least that is assumed here. The caller must hold n.mu.
 func (n *Node) guessUnlisted(local, listedCentres int) Census {
+	unread := n.directoryReadAt.IsZero()
 	guessed := local
-	if n.directoryReadAt.IsZero() && len(n.DataCentres) > 0 {
+	if unread && len(n.DataCentres) > 0 {
 		guessed = max(local, guessedLocal)
 	}
 	unlisted := guessed*max(len(n.DataCentres)-1-listedCentres, 0) + guessed - local
-	return Census{Known: unlisted, Live: unlisted, Unheard: unlisted + 1}
+	census := Census{Known: unlisted, Live: unlisted, Unheard: unlisted}
+	if unread {
+		// Even if the guess is right, nobody knows that it is.
+		census.Unheard++
+	}
+	return census
 }
 
 // isStarting reports whether this instance started so recently that others need not have been heard.
