--- a/test/limits/limits_test.go
+++ b/test/limits/limits_test.go
@@ -191,3 +191,41 @@
 		c.run(recovery)
 	})
 }
+
+// Some instances are killed again and again, beside others that know what they used.
+func TestRestartsOfSomeKeepTheLimit(t *testing.T) {
+	checkLimit(t, func(f *fleet, c *callers) {
+		c.demand = f.hot()
+		for range 3 {
+			c.run(f.between(300*time.Millisecond, 2300*time.Millisecond))
+			some := f.some(0.7)
+			for _, i := range some {
+				i.kill()
+			}
+			c.run(f.between(100*time.Millisecond, 1100*time.Millisecond))
+			for _, i := range some {
+				i.start()
+			}
+		}
+		c.run(recovery)
+	})
+}
+
+// Some processes stand still again and again: what they know is old as they go on, and callers wait there.
+func TestProcessesThatStandStillKeepTheLimit(t *testing.T) {
+	checkLimit(t, func(f *fleet, c *callers) {
+		c.demand = f.hot()
+		for range 3 {
+			c.run(f.between(0, 2*time.Second))
+			some := f.some(0.6)
+			for _, i := range some {
+				i.stall.begin()
+			}
+			c.run(f.between(300*time.Millisecond, 2800*time.Millisecond))
+			for _, i := range some {
+				c.thaw(i)
+			}
+		}
+		c.run(recovery)
+	})
+}
