--- a/test/limits/fleet_test.go
+++ b/test/limits/fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,16 +85,17 @@
 	self    shelfshelf.Instance
 	machine string
 
+	// ledger is also read by instances that start, under the fleet's mutex.
 	ledger    *quota.Ledger
 	gossip    *gossip.Node
 	startedAt time.Time
 	cancel    context.CancelFunc
 	ended     sync.WaitGroup
-	up        bool
+	up        atomic.Bool
 	// cutOff says that it is cut off from all others and the store, and storeLost that it is from the
 	// store.
-	cutOff    bool
-	storeLost bool
+	cutOff    atomic.Bool
+	storeLost atomic.Bool
 	stall     *stall
 	// queued are the requests that wait while its process stands still.
 	queued []waitingRequest
@@ -116,8 +118,8 @@
 	knows := func(p gossip.PeerKnowledge) bool { return p.Recalled }
 	for _, address := range i.gossip.AddressesWhere(knows) {
 		for _, other := range i.fleet.instances {
-			if other.self.Address == address && other.up && !other.cutOff && !i.cutOff {
-				return other.ledger.UsageForRestore()
+			if other.self.Address == address && other.up.Load() && !other.cutOff.Load() && !i.cutOff.Load() {
+				return other.currentLedger().UsageForRestore()
 			}
 		}
 	}
@@ -136,7 +138,7 @@
 }
 
 func (i *instance) callStore(ctx context.Context) error {
-	if i.cutOff || i.storeLost {
+	if i.cutOff.Load() || i.storeLost.Load() {
 		<-i.fleet.clock.After(loadRetryDelay)
 		return shelfshelf.ErrUnavailable
 	}
@@ -146,7 +148,7 @@
 // Status returns what this instance tells the others of its data centre.
 func (i *instance) Status() shelfshelf.Status {
 	return shelfshelf.Status{
-		Revision: 1, StoreUnreachable: i.cutOff || i.storeLost || i.fleet.store.isDown(),
+		Revision: 1, StoreUnreachable: i.cutOff.Load() || i.storeLost.Load() || i.fleet.store.isDown(),
 		WindowObserved: i.ledger.WindowObserved(), UsageRestored: i.ledger.Restored(),
 		Usage: i.ledger.LocalUsage(), EndedUsage: i.ledger.EndedUsage(),
 	}
@@ -173,6 +175,13 @@
 // HandleDigest takes a digest.
 func (i *instance) HandleDigest(digest shelfshelf.Digest) { i.ledger.ApplyDigest(digest) }
 
+// lastSave returns when usage was last saved.
+func (s *store) lastSave() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.savedAt
+}
+
 func (s *store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -188,6 +197,7 @@
 	store     *store
 	random    *rand.Rand
 	instances []*instance
+	mu        sync.Mutex
 }
 
 // newFleet starts so many instances in each data centre. It must be called in a synctest bubble, and
@@ -246,7 +256,7 @@
 		Directory: f.store, DataCentres: distinct(centres),
 	}
 	i.gossip.Init()
-	i.ledger = &quota.Ledger{
+	ledger := &quota.Ledger{
 		Clock: f.clock, DataCentre: i.self.DataCentre, Window: window, ReportDelay: i.gossip.SpreadTime,
 		Instances: func() (int, int) {
 			census := i.gossip.Census()
@@ -254,32 +264,41 @@
 		},
 		Unheard: func() int { return i.gossip.Census().Unheard },
 	}
-	i.ledger.Start()
+	ledger.Start()
+	f.mu.Lock()
+	i.ledger = ledger
+	f.mu.Unlock()
 	saver := &quota.UsageSaver{
-		Clock: f.clock, Log: silent, Ledger: i.ledger, Store: i, OnRestored: i.gossip.SendNow,
+		Clock: f.clock, Log: silent, Ledger: ledger, Store: i, OnRestored: i.gossip.SendNow,
 		IsSaver: i.gossip.ActsForAll,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	i.up = true
+	i.up.Store(true)
 	node := i.gossip
 	i.ended.Go(func() { _ = node.Run(ctx) })
 	i.ended.Go(func() { _ = saver.Run(ctx) })
 }
 
+// currentLedger returns the ledger of the instance's process.
+func (i *instance) currentLedger() *quota.Ledger {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	return i.ledger
+}
+
 // kill ends the instance's process without a word.
 func (i *instance) kill() {
-	if !i.up {
+	if !i.up.Swap(false) {
 		return
 	}
-	i.up = false
 	i.cancel()
 	i.ended.Wait()
 }
 
 // isolate cuts the instance off from the others and the store, or joins it again.
 func (i *instance) isolate(cut bool) {
-	i.cutOff = cut
+	i.cutOff.Store(cut)
 	if cut {
 		i.fleet.network.Isolate(i.machine)
 		return
@@ -289,7 +308,7 @@
 
 // ready reports whether the instance takes requests.
 func (i *instance) ready() bool {
-	return i.up && i.fleet.clock.Now().Sub(i.startedAt) >= readyAfter
+	return i.up.Load() && i.fleet.clock.Now().Sub(i.startedAt) >= readyAfter
 }
 
 func distinct(centres []shelfshelf.DataCentre) []shelfshelf.DataCentre {
--- a/test/limits/limits_test.go
+++ b/test/limits/limits_test.go
@@ -167,10 +167,10 @@
 func TestUsageIsSavedWhereTheSavingDataCentreLosesTheStore(t *testing.T) {
 	checkLimit(t, func(f *fleet, c *callers) {
 		for _, i := range f.instances {
-			i.storeLost = i.self.DataCentre == "a"
+			i.storeLost.Store(i.self.DataCentre == "a")
 		}
 		c.run(3 * time.Second)
-		if age := f.clock.Now().Sub(f.store.savedAt); age > 2*time.Second {
+		if age := f.clock.Now().Sub(f.store.lastSave()); age > 2*time.Second {
 			f.t.Errorf("nothing was saved for %v", age)
 		}
 	})
