--- a/quota/quota.go
+++ b/quota/quota.go
@@ -80,26 +80,27 @@
 	l.remotes = make(map[shelfshelf.DataCentre]*receivedUsage)
 }
 
-// limit returns how much may be used in the window, and whether that is in tokens rather than requests.
-func (l *Ledger) limit(limits shelfshelf.Limits) (allowed float64, tokens, limited bool) {
+// limit returns the rate a second, how much may be used in the window, and whether that is in tokens rather
+// than requests.
+func (l *Ledger) limit(limits shelfshelf.Limits) (rate, allowed float64, tokens, limited bool) {
 	rate, burst := limits.RequestsPerSecond, limits.RequestBurst
 	if limits.TokensPerSecond > 0 {
 		rate, burst, tokens = limits.TokensPerSecond, limits.TokenBurst, true
 	}
-	return rate*l.Window.Seconds() + burst, tokens, rate > 0
+	return rate, rate*l.Window.Seconds() + burst, tokens, rate > 0
 }
 
 // Charge charges a request to the customer's limit, or charges nothing and says when to retry.
 func (l *Ledger) Charge(customer *shelfshelf.Customer, tokens int) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	allowed, inTokens, limited := l.limit(customer.Limits)
+	rate, allowed, inTokens, limited := l.limit(customer.Limits)
 	if !limited {
 		return Verdict{OK: true, Rule: RuleUnlimited}
 	}
 	key := shelfshelf.KeyOfCustomer(customer.Name)
 	a := l.account(key, inTokens)
-	a.allowed, a.rate = allowed, max(customer.Limits.TokensPerSecond, customer.Limits.RequestsPerSecond)
+	a.allowed, a.rate = allowed, rate
 	known, live := l.Instances()
 	verdict := Verdict{
 		Allowed:     allowed,
