--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -27,8 +27,8 @@
 	return nil
 }
 
-// logCharge logs what the charge of an admitted request is based on. The line that ends a request can't
-// tell it, since a process that is killed ends no request in flight, though its target runs it.
+// logCharge logs what the charge of an admitted request is based on. The line at a request's end is not
+// enough: a process that is killed never writes it, although the target runs the request.
 func (c *request) logCharge() {
 	fields := []any{"request", c.call.ID, "customer", c.customer.Name, "revision", c.index.Revision}
 	c.server.Log.Info("A request was charged.", append(fields, c.quotaFields()...)...)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -63,8 +63,8 @@
 	fingerprint  shelfshelf.Fingerprint
 	tokens       int
 	quotaVerdict quota.Verdict
-	// charge is the entry counted against the customer's quota, and chargedAt the time from which it
-	// counts.
+	// charge is the entry counted against the customer's quota, and chargedAt when the request was last
+	// sent, from which the charge counts.
 	charge    quota.Charge
 	chargedAt time.Time
 	// unsentAttempts counts attempts that did not reach a target.
--- a/gossip/census.go
+++ b/gossip/census.go
@@ -6,9 +6,9 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
-// guessedLocal is how many instances a data centre is assumed to have at least while the directory has
-// not been read.
-const guessedLocal = 2
+// minAssumedInstances is how many instances a data centre is assumed to have at least while the directory
+// has not been read.
+const minAssumedInstances = 2
 
 // Census counts the instances, including this one.
 type Census struct {
@@ -43,7 +43,7 @@
 		census.add(n.countRemotes(centre, listed, now))
 	}
 	if !n.remotesKnown {
-		census.add(n.guessUnlisted(local.Known, len(listedRemotes)))
+		census.add(n.assumeUnlisted(local.Known, len(listedRemotes)))
 	}
 	return census
 }
@@ -75,6 +75,7 @@
 	c := n.dataCentres[centre]
 	switch {
 	case c == nil && n.isStarting(now):
+		// No digest can have arrived yet if all instances started together.
 		return Census{Known: listed, Live: listed, Unheard: listed}
 	case c == nil || now.Sub(c.asOf) >= SilentAfter:
 		return Census{Known: listed}
@@ -82,19 +83,18 @@
 	return Census{Known: c.known, Live: c.digest.Instances}
 }
 
-// guessUnlisted returns the counts of instances that this one can't know of yet, since it has not read
-// who is listed: so many in each of the remaining data centres as in this one, where guessedLocal is the
-// least that is assumed here. The caller must hold n.mu.
-func (n *Node) guessUnlisted(local, listedCentres int) Census {
+// assumeUnlisted returns the counts of instances that this one can't know of yet because it has not read the
+// directory: as many in each data centre without a listed one as in its own. The caller must hold n.mu.
+func (n *Node) assumeUnlisted(local, listedCentres int) Census {
 	unread := n.directoryReadAt.IsZero()
-	guessed := local
+	assumed := local
 	if unread && len(n.DataCentres) > 0 {
-		guessed = max(local, guessedLocal)
+		assumed = max(local, minAssumedInstances)
 	}
-	unlisted := guessed*max(len(n.DataCentres)-1-listedCentres, 0) + guessed - local
+	unlisted := assumed*max(len(n.DataCentres)-1-listedCentres, 0) + assumed - local
 	census := Census{Known: unlisted, Live: unlisted, Unheard: unlisted}
 	if unread {
-		// Even if the guess is right, nobody knows that it is.
+		// This data centre may have more instances than assumed, so the census is never complete here.
 		census.Unheard++
 	}
 	return census
--- a/gossip/order.go
+++ b/gossip/order.go
@@ -7,8 +7,8 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
-// remoteSilentAfter is how long what an instance of another data centre said of the store is relied on:
-// each of them is heard only now and then.
+// remoteSilentAfter is how long what an instance of another data centre last said of the store is relied on.
+// It is longer than SilentAfter, since a single one of them is heard only now and then.
 const remoteSilentAfter = 3 * time.Second
 
 // IsFirst reports whether this instance comes first among the instances of its data centre that are live,
@@ -88,9 +88,9 @@
 	return preceding < count
 }
 
-// ActsForAll reports whether this instance does what one of all has to do with the store: the first of its
-// data centre does, unless a data centre that comes before by name is live. One that has lost the store
-// comes before only where this instance has lost it too.
+// ActsForAll reports whether this instance does what one of all has to do with the store. The first instance
+// of the first live data centre by name does. A data centre that has lost the store is passed over, unless
+// this instance has lost it too.
 func (n *Node) ActsForAll() bool {
 	if !n.IsFirst() {
 		return false
--- a/quota/account.go
+++ b/quota/account.go
@@ -12,7 +12,7 @@
 	ownRequests slidingWindow
 	// reports are the own usage in the latest statuses to the other instances, the latest last.
 	reports []ownReport
-	// allowed is the limit at the latest charge, and rate the part of it that grows with the window, a
+	// allowed is how much may be used in the window as of the latest charge, and rate the limit's rate a
 	// second.
 	allowed float64
 	rate    float64
@@ -62,7 +62,7 @@
 	return &a.ownRequests
 }
 
-// setUnit changes the unit of the limit. What was observed of others was in the other unit.
+// setUnit changes the unit of the limit. It drops what was observed in the other unit.
 func (a *account) setUnit(tokens bool) {
 	a.tokens = tokens
 	a.reports = nil
@@ -75,8 +75,8 @@
 	a.ownRequests.advance(interval)
 }
 
-// take counts a charge, or with a negative factor takes it back.
-func (a *account) take(charge Charge, factor float64) {
+// add counts a charge; with a factor of -1 it takes the charge back.
+func (a *account) add(charge Charge, factor float64) {
 	a.ownTokens.add(charge.interval, factor*charge.tokens)
 	a.ownRequests.add(charge.interval, factor*charge.requests)
 }
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -8,9 +8,9 @@
 //
 //	allowed 900, known usage 600, 6 instances: the even share is 50 until the next reports
 //
-// What nobody has reported is not taken for nothing. An instance that has just started takes its even share
-// once, until it has heard from the others. For the time between the last save of the usage and its start,
-// a gap, it assumes that the customer used its limit's rate.
+// A missing report does not mean that nothing was used. Until an instance that has just started has heard
+// from the others, it admits its even share once. For the time between the last save of the usage and its
+// start, a gap, it assumes that the customer used as much as the limit's rate allows.
 //
 // An instance that no longer hears from some of the others admits only a part of the limit, since it
 // can't see what they use.
--- a/quota/gaps.go
+++ b/quota/gaps.go
@@ -42,10 +42,10 @@
 	return gaps
 }
 
-// missingUsage estimates what was used in the gaps and is still in the window. A customer that uses much
-// may have begun in a gap, so its limit's rate is assumed: who keeps to its limit is not refused for
-// that. Up to saveInterval after the last save, the customer is taken to have gone on as before where
-// that was more. It can't have used more than its limit had left at the start. The caller must hold l.mu.
+// missingUsage estimates what was used in the gaps and is still in the window. A customer's demand may have
+// risen in a gap, so usage at the limit's rate is assumed. A customer that keeps to its limit is not refused
+// because of that. Up to saveInterval after the last save, its rate before the save is assumed if that was
+// higher. No more is assumed than the limit had left at the start. The caller must hold l.mu.
 func (l *Ledger) missingUsage(key shelfshelf.CustomerKey, a *account, now time.Time) float64 {
 	missing := 0.0
 	for _, g := range l.gaps {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -121,7 +121,7 @@
 	}
 	verdict.OK = true
 	verdict.Charge = Charge{customer: key, tokens: float64(tokens), requests: 1, interval: a.own().newest}
-	a.take(verdict.Charge, 1)
+	a.add(verdict.Charge, 1)
 	return verdict
 }
 
@@ -191,12 +191,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.accountOf(charge.customer).take(charge, -1)
+	l.accountOf(charge.customer).add(charge, -1)
 }
 
 // Recharge makes a charge count from now on, the time its request is sent, since the request may have
-// waited after it was charged. Usage counts from when a target runs the request. One that is sent again
-// counts once, from the last time: until then it counted from the earlier one.
+// waited after it was charged. Usage counts from when a target runs the request. A request that is sent
+// again counts once: from the first send until the second one, then from the second.
 func (l *Ledger) Recharge(charge Charge) Charge {
 	if charge.requests == 0 {
 		return charge
@@ -204,9 +204,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accountOf(charge.customer)
-	a.take(charge, -1)
+	a.add(charge, -1)
 	charge.interval = a.own().newest
-	a.take(charge, 1)
+	a.add(charge, 1)
 	return charge
 }
 
--- a/quota/received.go
+++ b/quota/received.go
@@ -59,9 +59,9 @@
 	l.endedIncarnations = slices.DeleteFunc(l.endedIncarnations, func(s *receivedUsage) bool { return now.Sub(s.updatedAt) >= l.Window })
 }
 
-// ApplyDigest records the usage in the digest of a data centre, unless a newer one is known. The sender may have started lately and
-// not know all of it. Where its digest has less than what remains of the previous one, the previous one
-// still counts, since usage only shrinks by expiry.
+// ApplyDigest records the usage in the digest of a data centre, unless a newer one is known. The sender may
+// have started lately and not know all of it. Where its digest has less than what remains of the previous
+// one, the previous one still counts, since usage only shrinks by expiry.
 func (l *Ledger) ApplyDigest(digest shelfshelf.Digest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -75,7 +75,7 @@
 	}
 	previous := l.remotes[digest.DataCentre]
 	if previous == nil {
-		// Most of a first digest is what was saved, whose age is known.
+		// After a restart of all, most of the first digest is usage that was saved, and its age is known.
 		previous = l.saved[digest.DataCentre]
 	}
 	s := l.newReceivedUsage(previous, 0, at, digest.WindowObserved, digest.Usage)
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -18,7 +18,7 @@
 }
 
 // After a restart of all, what another data centre's digest tells was used before the restart. It must
-// leave the window by the age that was saved with it, and not count as used at the first digest: a
+// leave the window by the age that was saved with it. It counted as used at the first digest, so that a
 // customer was refused at 0.4 of its limit for a whole window.
 func TestRestoredUsageOfOtherDataCentresExpiresByAge(t *testing.T) {
 	f := newMultiCentreFleet()
@@ -79,9 +79,9 @@
 	}
 }
 
-// A charge stays in the window as long as its request is in it. It left with the beginning of its
-// interval, up to 0.1 s early, and a burst with it: after a restart of all, the burst of callers that had
-// waited left it at all instances at once.
+// A charge stays in the window as long as its request is in it. Charges left the window with the beginning
+// of their interval, up to 0.1 s early. After a restart of all, the burst of callers that had waited left it
+// early at all instances at once.
 func TestChargesStayForTheWholeWindow(t *testing.T) {
 	customer := limitedCustomer(1000)
 	for offset := time.Duration(0); offset < 100*time.Millisecond; offset += 9 * time.Millisecond {
@@ -103,7 +103,7 @@
 }
 
 // Where nothing was saved, a restarted instance still learns from peers what its earlier incarnation used. It
-// assumed its even part only: 3,000 of 6,000.
+// assumed its own part of the limit only: 2,250 where 6,000 had been used.
 func TestEndedUsageOfPeersCountsWhereNothingWasSaved(t *testing.T) {
 	f := newMultiCentreFleet()
 	for _, id := range []shelfshelf.InstanceID{"a1", "a2", "a3", "a4"} {
--- a/quota/saved.go
+++ b/quota/saved.go
@@ -123,8 +123,8 @@
 }
 
 // MaxRecentFraction returns the largest part of its limit that any customer has used since the last
-// recorded save, which was at the given time: the growth of its total, or what it used here if the other
-// instances have admitted as much, at most one window ago.
+// recorded save, which was at the given time, at most one window ago. It is the growth of the customer's
+// total, or the usage here times the number of instances if that is more.
 func (l *Ledger) MaxRecentFraction(since time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -136,9 +136,9 @@
 			continue
 		}
 		a.advance(l.currentInterval())
-		alike := a.own().sumOfNewest(intervals) * float64(max(known, 1))
+		projected := a.own().sumOfNewest(intervals) * float64(max(known, 1))
 		growth := l.totalUsage(key, a) - a.totalAtSave
-		largest = max(largest, alike/a.allowed, growth/a.allowed)
+		largest = max(largest, projected/a.allowed, growth/a.allowed)
 	}
 	return largest
 }
--- a/quota/share_test.go
+++ b/quota/share_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// What an instance has admitted since the digest of its own data centre was made is not in it, though it has
-// been reported since. It was subtracted from the others' usage, and so hid itself.
+// What an instance has admitted since the digest of its own data centre was made is not in the digest, even
+// if it has been reported since. It was subtracted all the same, so that as much of the others' usage was lost.
 func TestUsageReportedSinceTheDigestIsNotSubtracted(t *testing.T) {
 	f := newMultiCentreFleet()
 	l := f.start("a1")
--- a/quota/unit_test.go
+++ b/quota/unit_test.go
@@ -18,7 +18,8 @@
 	return l
 }
 
-// The slack of the users is in tokens. It admitted 70,010 requests where 10 were allowed.
+// The slack is in tokens. It was added to limits in requests too, so that 70,010 requests were admitted where
+// 10 were allowed.
 func TestSlackIsInTokens(t *testing.T) {
 	l := observedLedger(newFleet(1))
 	admitted := 0
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -71,9 +71,9 @@
 	return oldest
 }
 
-// digestUsage returns what the other instances have used according to the digest of this data centre,
-// that is without what this instance had reported when it was made. The digest comes from an instance that receives
-// the others' statuses more often. The caller must hold l.mu.
+// digestUsage returns what the other instances have used according to the digest of this data centre: its
+// amount without what this instance had reported when the digest was made. The digest comes from an
+// instance that receives the others' statuses more often. The caller must hold l.mu.
 func (l *Ledger) digestUsage(key shelfshelf.CustomerKey, a *account, now time.Time) float64 {
 	if l.ownDigest == nil || now.Sub(l.ownDigest.updatedAt) > silenceTimeout {
 		return 0
--- a/store.go
+++ b/store.go
@@ -74,7 +74,7 @@
 
 // UsageStore persists the usage of customers, for instances that start after all others have ended.
 type UsageStore interface {
-	// SaveUsage replaces the stored usage, which is saved with an age of 0.
+	// SaveUsage replaces the stored usage. The age of the given one is ignored: it is taken to be as of now.
 	SaveUsage(ctx context.Context, usage SavedUsages) error
 	// LoadUsage returns the stored usage; the error is ErrNotFound if none is stored.
 	LoadUsage(ctx context.Context) (SavedUsages, error)
--- a/test/limits/callers_test.go
+++ b/test/limits/callers_test.go
@@ -30,14 +30,15 @@
 	// ran is the tokens that ran, by step.
 	ran []float64
 	// lowestRefusal is the lowest usage at which a request was refused, as a part of the limit, with the
-	// refused request counted; refusals counts the refusals below 0.95.
+	// refused request counted. early counts the refusals below 0.95, refusals all of them, and asked the
+	// requests that an instance decided on.
 	lowestRefusal float64
 	early         int
 	refusals      int
 	asked         int
 }
 
-// waitingRequest is a request that comes at an instant; it was first sent at another.
+// waitingRequest is a request that is due at a time; first is when its caller first sent it.
 type waitingRequest struct {
 	tokens int
 	first  time.Time
@@ -59,7 +60,7 @@
 // second's worth.
 func allowedBy(rate float64) float64 { return rate * (window.Seconds() + 1) }
 
-// wait adds requests of callers that have waited for an instance, as a part of the limit together.
+// wait adds requests of callers that have waited for an instance; part is their total, as a part of the limit.
 func (c *callers) wait(part float64) {
 	now := c.fleet.clock.Now()
 	for left := part * c.allowed(); left > 0; {
@@ -151,8 +152,8 @@
 	i.queued = append(i.queued, r)
 }
 
-// thaw lets an instance go on that stood still, with the requests that waited for it.
-func (c *callers) thaw(i *instance) {
+// endStall lets an instance go on that stood still, and asks it for the requests that waited for it.
+func (c *callers) endStall(i *instance) {
 	now := c.fleet.clock.Now()
 	queued := i.queued
 	i.queued = nil
--- a/test/limits/fleet_test.go
+++ b/test/limits/fleet_test.go
@@ -79,7 +79,7 @@
 	return listed, nil
 }
 
-// instance is one instance, of which only what concerns limits runs.
+// instance is one instance, with the parts that limits depend on.
 type instance struct {
 	fleet   *fleet
 	self    shelfshelf.Instance
@@ -287,7 +287,7 @@
 	return i.ledger
 }
 
-// kill ends the instance's process without a word.
+// kill ends the instance's process without an announcement.
 func (i *instance) kill() {
 	if !i.up.Swap(false) {
 		return
--- a/test/limits/limits_test.go
+++ b/test/limits/limits_test.go
@@ -26,12 +26,12 @@
 	slack = 140000
 )
 
-// scenario is a course of faults beside a customer's demand.
+// scenario is a sequence of faults beside a customer's demand.
 type scenario func(f *fleet, c *callers)
 
 // play plays a scenario once for each seed, with seven instances in four data centres and a customer of
 // the given rate, and returns the callers of each play.
-func play(t *testing.T, seeds int, rate float64, course scenario) []*callers {
+func play(t *testing.T, seeds int, rate float64, faults scenario) []*callers {
 	t.Helper()
 	var plays []*callers
 	for seed := range seeds {
@@ -42,7 +42,7 @@
 			c.demand = quiet
 			c.run(warmUp)
 			c.forgetRefusals()
-			course(f, c)
+			faults(f, c)
 			plays = append(plays, c)
 		})
 	}
@@ -51,15 +51,15 @@
 
 // checkLimit plays a scenario with a large and a small customer and checks that no window exceeds the
 // limit by more than the users' tolerance; that of the large customer is checked without their slack.
-func checkLimit(t *testing.T, course scenario) {
+func checkLimit(t *testing.T, faults scenario) {
 	t.Helper()
-	checkCustomer(t, largeRate, 1+excess, course)
-	checkCustomer(t, smallRate, 1+excess+slack/allowedBy(smallRate), course)
+	checkCustomer(t, largeRate, 1+excess, faults)
+	checkCustomer(t, smallRate, 1+excess+slack/allowedBy(smallRate), faults)
 }
 
-func checkCustomer(t *testing.T, rate, most float64, course scenario) {
+func checkCustomer(t *testing.T, rate, most float64, faults scenario) {
 	t.Helper()
-	for seed, c := range play(t, seeds, rate, course) {
+	for seed, c := range play(t, seeds, rate, faults) {
 		t.Logf("rate %.0f, seed %d: %.2f of the limit in a window; %d of %d refused, %d below 0.95, from %.2f on",
 			rate, seed, c.worst(), c.refusals, c.asked, c.early, c.lowestRefusal)
 		if worst := c.worst(); worst > most {
@@ -223,7 +223,7 @@
 			}
 			c.run(f.between(300*time.Millisecond, 2800*time.Millisecond))
 			for _, i := range some {
-				c.thaw(i)
+				c.endStall(i)
 			}
 		}
 		c.run(recovery)
--- a/test/limits/stall_test.go
+++ b/test/limits/stall_test.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// stall is a socket whose process can be made to stand still: it then neither sends nor reads, and what
-// comes waits for it.
+// stall is a socket whose process can be made to stand still. Meanwhile it neither sends nor reads, and
+// datagrams that arrive stay in the queue.
 type stall struct {
 	net.PacketConn
 
