--- a/node/places.go
+++ b/node/places.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -27,13 +28,18 @@
 		Send: n.gossip.SendDatagram,
 	}
 	n.places.OnAnnouncement = func(told shelfshelf.TargetAnnouncement) { n.words.Merge([]shelfshelf.TargetAnnouncement{told}) }
-	n.places.Table = &slots.SlotTable{Clock: n.Clock, Capacity: n.capacity, RateLimit: n.pacing, SendGrant: n.places.SendGrant}
+	n.places.Table = &slots.SlotTable{Clock: n.Clock, Capacity: n.capacity, RateLimit: n.pacing, SendGrant: n.places.SendGrant, OnBackoff: n.logBackoff}
 	n.gossip.HandleDatagram = n.places.Receive
 	n.gossip.DatagramMarker = slots.Marker
 	n.balancer.SlotOwners = n.places
 	return nil
 }
 
+// logBackoff logs that a target gets nothing for a while because one instance could not reach it.
+func (n *Node) logBackoff(target shelfshelf.TargetKey, reporter slots.Holder, duration time.Duration) {
+	n.Log.WithPrefix("places").Info("A target gets no requests for a while.", "target", uint64(target), "reporter", reporter.Address, "for", duration)
+}
+
 // capacity returns what is known here of an engine.
 func (n *Node) capacity(key shelfshelf.TargetKey) (slots.Capacity, bool) {
 	count, told, known := n.balancer.Capacity(key)
--- a/slots/slot_table.go
+++ b/slots/slot_table.go
@@ -58,6 +58,8 @@
 	// RateLimit returns the rate limit of this instance for a target; a nil function means that no target
 	// is limited.
 	RateLimit func(shelfshelf.TargetKey) RateLimit
+	// OnBackoff, if set, is called when a holder's report starts a backoff, with t.mu held.
+	OnBackoff func(target shelfshelf.TargetKey, reporter Holder, duration time.Duration)
 	// SendGrant tells a holder that its queued request was granted. It is called without t.mu held.
 	SendGrant func(holder Holder, id shelfshelf.SlotID, requests int)
 
@@ -176,7 +178,9 @@
 	}
 	s := t.targets[target]
 	if _, held := s.held[key]; held {
+		before := s.backoff.until
 		record(&s.backoff, key, now)
+		t.reportBackoff(target, s, before)
 	}
 	s.dequeue(key)
 	t.removeSlot(s, key)
@@ -185,6 +189,13 @@
 	t.sendGrants(grants)
 }
 
+// reportBackoff calls OnBackoff if a new backoff has begun. The caller must hold t.mu.
+func (t *SlotTable) reportBackoff(target shelfshelf.TargetKey, s *targetState, before time.Time) {
+	if t.OnBackoff != nil && s.backoff.until.After(before) {
+		t.OnBackoff(target, s.backoff.reporter, s.backoff.duration)
+	}
+}
+
 // removeSlot deletes a held slot. The caller must hold t.mu.
 func (t *SlotTable) removeSlot(s *targetState, key slotKey) {
 	delete(s.held, key)
