--- a/fake/network.go
+++ b/fake/network.go
@@ -31,6 +31,7 @@
 	conns     map[*networkConn]bool
 	isolated  map[string]bool
 	side      func(machine string) int
+	faulty    *linkFault
 }
 
 // NewNetwork returns a network without machines.
@@ -98,6 +99,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if fault := n.faultBetween(machine, other); fault != nil && fault.Refuse {
+			return nil, refused
+		}
 		if n.cut(machine, other) {
 			return nil, n.hang(ctx, address)
 		}
@@ -131,6 +135,9 @@
 }
 
 func (n *Network) cutLocked(from, to string) bool {
+	if n.faulty != nil && n.faulty.between(from, to) {
+		return true
+	}
 	if n.isolated[from] || n.isolated[to] {
 		return true
 	}
@@ -262,9 +269,14 @@
 	net.Conn
 	network  *Network
 	from, to string
+	abort    sync.Once
 }
 
 func (c *networkConn) Write(content []byte) (int, error) {
+	if c.network.silent(c.from, c.to) {
+		c.abort.Do(c.abortLater)
+		return len(content), nil
+	}
 	written := 0
 	for len(content) > 0 {
 		size := min(len(content), packet)
--- a/node/limited_test.go
+++ b/node/limited_test.go
@@ -61,6 +61,19 @@
 	away map[int]bool
 	// few is how many instances callers come to, the first ones; 0 means all.
 	few int
+	// kinds are the routes that are called, in turn; nil means one for engines and one for plain targets.
+	kinds []string
+	// answered, if set, gets the outcome of each call.
+	answered func(outcome)
+}
+
+// outcome is how a call of a kind at an instance ended.
+type outcome struct {
+	at     int
+	kind   string
+	status string
+	sent   time.Time
+	took   time.Duration
 }
 
 // refusal is when a caller was refused, and when it was told to come back.
@@ -162,7 +175,7 @@
 			i = rand.IntN(p.few)
 		}
 		if !p.isAway(i) {
-			kind := []string{"e", "p"}[count%2]
+			kind := p.kindOf(count)
 			callers.Go(func() { p.call(clients[i], i, kind, count) })
 		}
 		time.Sleep(time.Second / (2 * limitLoad))
@@ -173,6 +186,14 @@
 	}
 }
 
+// kindOf returns the route of a call by its number.
+func (p *limited) kindOf(count int) string {
+	if p.kinds == nil {
+		return []string{"e", "p"}[count%2]
+	}
+	return p.kinds[count%len(p.kinds)]
+}
+
 func (p *limited) call(client *http.Client, at int, kind string, count int) {
 	ctx, cancel := context.WithTimeout(p.ctx, 12*time.Second)
 	defer cancel()
@@ -192,6 +213,7 @@
 	request.Header.Set("X-Shelfshelf-Request-Deadline", "8000")
 	request.Header.Set("Authorization", "Bearer k1")
 	wasAway := p.isAway(at)
+	sent := p.clock.Now()
 	response, err := client.Do(request)
 	status, retryAfter := "broken", ""
 	if err == nil {
@@ -206,6 +228,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.answers[kind+" "+status]++
+	if p.answered != nil {
+		p.answered(outcome{at: at, kind: kind, status: status, sent: sent, took: p.clock.Now().Sub(sent)})
+	}
 	if status == "503" {
 		p.refused = append(p.refused, id)
 		seconds, err := strconv.ParseFloat(retryAfter, 64)
