forward: requests reach their targets through other instances while an instance's own links fail

Cause: the only way from an instance to a target was its own link, and each failure was kept against the target, so that a request tried up to eight of them, 150 ms each, and was refused.

Change: where a connection to a target fails, the instance asks another one to connect to it (package forward, over the HTTP server between instances). The instance of the caller stays responsible: key, quota (charged right before the send, checked again then: upstream.Request.Prepare), slot, retries, resumption and answer. The other one connects first and asks for the request only then (100 Continue), so that until then it has certainly not run; it never hands on; it ends a response with a word in the trailer, so that one that ends with its connection doesn't look complete if the instance dies. Those asked are of this data centre and of others in turn, those that served lately and have least in hand first. An instance that reaches neither of two targets says so at once and isn't asked for 2 to 8 s. Links are tried again every 500 ms, and a link in doubt is tried beside a handover. A failure of an own link no longer counts against the target.

--- /dev/null
+++ b/forward/client.go
@@ -0,0 +1,157 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/upstream"
+)
+
+const (
+	// handshakeTimeout is how long another instance may take to connect to a target. It dials for up to
+	// upstream.DialTimeout.
+	handshakeTimeout = upstream.DialTimeout + 60*time.Millisecond
+	// openTimeout bounds the time until a request is sent over whichever way. What was checked before, such as
+	// the key, has to hold until then.
+	openTimeout = 400 * time.Millisecond
+	// enoughUnreached is how many instances have to say that they don't reach a target either.
+	enoughUnreached = 2
+	// idlePerPeer and idleConnTimeout bound the kept connections to other instances.
+	idlePerPeer     = 16
+	idleConnTimeout = 30 * time.Second
+	// peerDialTimeout bounds the time to connect to another instance.
+	peerDialTimeout = upstream.DialTimeout
+)
+
+// Client sends requests to targets: directly, or through another instance where the link to the target fails.
+// Set the exported fields and call Init before use. It is safe for concurrent use.
+type Client struct {
+	Clock  shelfshelf.Clock
+	Log    *log.Logger
+	Codec  shelfshelf.CallCodec
+	Direct *upstream.Client
+	// Peers returns the other instances that are live.
+	Peers func() []Peer
+	// Control returns the address of another listed target, to find out whether the links of this instance
+	// work at all; false if there is none.
+	Control func(excluded shelfshelf.TargetName) (address string, found bool)
+	// Dial opens connections to other instances. If nil, the operating system's dialer is used.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnHandover, if set, is called with the outcome of each attempt to hand a request over.
+	OnHandover func(outcome string)
+
+	links     *links
+	peers     peers
+	transport *http.Transport
+}
+
+// Init prepares the client and follows the connections of Direct.
+func (c *Client) Init() {
+	c.links = newLinks(c.Clock, c.Log)
+	c.peers.clock = c.Clock
+	c.Direct.OnDial = c.links.dialed
+	dial := c.Dial
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: peerDialTimeout}
+		dial = dialer.DialContext
+	}
+	c.transport = &http.Transport{
+		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleConnTimeout,
+		// The body must never be sent unasked: until it is, the request has certainly not run.
+		ExpectContinueTimeout: time.Hour,
+	}
+}
+
+// LinksDown returns how many targets this instance doesn't reach that other instances reach.
+func (c *Client) LinksDown() int { return c.links.countDown() }
+
+// connection is a way to a target on which nothing has been sent yet. Either Send or Cancel must be called
+// once.
+type connection interface {
+	Send(ctx context.Context, request upstream.Request) (*upstream.Response, error)
+	Cancel()
+}
+
+// Send sends a request to an address and returns once the head of the response has been read. The error is
+// ErrNotRun, joined with ErrOwnLink if other instances reach the target, or ErrIncompleteResponse.
+func (c *Client) Send(ctx context.Context, address string, request upstream.Request) (*upstream.Response, error) {
+	opened, err := c.open(ctx, address, request)
+	if err != nil {
+		return nil, err
+	}
+	return opened.Send(ctx, request)
+}
+
+// open finds a way to a request's target.
+func (c *Client) open(ctx context.Context, address string, request upstream.Request) (connection, error) {
+	switch c.links.use(request.Target) {
+	case linkDown:
+		return c.openAroundLink(ctx, address, request)
+	case linkDoubtful:
+		return c.race(ctx, address, request)
+	case linkDead:
+		return c.openDirectly(ctx, address, request.NewConnection)
+	default:
+		return c.openDirectlyFirst(ctx, address, request)
+	}
+}
+
+// openDirectlyFirst opens a connection to the target, and hands the request over if that fails.
+func (c *Client) openDirectlyFirst(ctx context.Context, address string, request upstream.Request) (connection, error) {
+	direct, err := c.openDirectly(ctx, address, request.NewConnection)
+	if err == nil {
+		return direct, nil
+	}
+	if ctx.Err() != nil {
+		go c.confirm(request.Target)
+		return nil, err
+	}
+	handed, handErr := c.handOver(ctx, request.Target, request.NewConnection, openTimeout-upstream.DialTimeout)
+	if handErr == nil {
+		return handed, nil
+	}
+	return nil, err
+}
+
+// openDirectly opens a connection to the target itself.
+func (c *Client) openDirectly(ctx context.Context, address string, fresh bool) (connection, error) {
+	reserved, err := c.Direct.Reserve(ctx, address, fresh)
+	if err != nil {
+		return nil, err
+	}
+	return reserved, nil
+}
+
+// openAroundLink hands a request over whose target isn't reached from here, and tries the link all the same
+// if nobody takes it.
+func (c *Client) openAroundLink(ctx context.Context, address string, request upstream.Request) (connection, error) {
+	handed, err := c.handOver(ctx, request.Target, request.NewConnection, openTimeout-upstream.DialTimeout)
+	if err == nil {
+		return handed, nil
+	}
+	direct, directErr := c.openDirectly(ctx, address, true)
+	if directErr == nil {
+		return direct, nil
+	}
+	return nil, err
+}
+
+// confirm finds out whether other instances reach a target whose connection failed here. Without it, a
+// request that has no time left after a failed connection would teach nothing to the next one.
+func (c *Client) confirm(target shelfshelf.Target) {
+	if !c.links.beginConfirm(target) {
+		return
+	}
+	defer c.links.endConfirm(target)
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	handed, err := c.handOver(ctx, target, false, openTimeout)
+	if err == nil {
+		handed.Cancel()
+	}
+}
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,263 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/shelfshelf/shelfshelf"
+	"github.com/shelfshelf/shelfshelf/forward"
+	"github.com/shelfshelf/shelfshelf/platform"
+	"github.com/shelfshelf/shelfshelf/upstream"
+)
+
+// errCut is the error of a dial over a link that is down.
+var errCut = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+
+// pair is an instance whose links to targets are down, and one that reaches them.
+type pair struct {
+	t      *testing.T
+	target *httptest.Server
+	// respond answers a request at the target.
+	respond http.HandlerFunc
+	// connections counts the connections to the target, runs the requests there.
+	connections, runs atomic.Int64
+	leaving           atomic.Bool
+	isInstance        bool
+	client            *forward.Client
+	server            *forward.Server
+	peer              *httptest.Server
+}
+
+func newPair(t *testing.T, respond http.HandlerFunc) *pair {
+	p := &pair{t: t, respond: respond, isInstance: true}
+	p.target = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.runs.Add(1)
+		w.Header().Set("X-Shelfshelf-Request-Id", r.Header.Get("X-Shelfshelf-Request-Id"))
+		p.respond(w, r)
+	}))
+	p.target.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			p.connections.Add(1)
+		}
+	}
+	p.target.Start()
+	t.Cleanup(p.target.Close)
+	clock, logger := clockwork.NewRealClock(), log.New(io.Discard)
+	near := &upstream.Client{Clock: clock, Codec: platform.Headers{}}
+	links := &forward.Client{Clock: clock, Log: logger, Codec: platform.Headers{}, Direct: near, Control: p.control}
+	links.Init()
+	p.server = &forward.Server{
+		Clock: clock, Log: logger, Direct: near, Links: links,
+		Lookup:     func(shelfshelf.TargetName) (shelfshelf.Target, bool) { return p.listed(), true },
+		IsInstance: func(string) bool { return p.isInstance },
+	}
+	p.serveWith(p.server)
+	cut := &upstream.Client{Clock: clock, Codec: platform.Headers{}, Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errCut }}
+	p.client = &forward.Client{
+		Clock: clock, Log: logger, Codec: platform.Headers{}, Direct: cut, Control: p.control,
+		Peers: func() []forward.Peer { return []forward.Peer{{Address: p.peer.Listener.Addr().String()}} },
+	}
+	p.client.Init()
+	return p
+}
+
+// serveWith replaces what the other instance does with requests.
+func (p *pair) serveWith(handler http.Handler) {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+forward.Path, handler)
+	p.peer = httptest.NewServer(mux)
+	p.t.Cleanup(p.peer.Close)
+}
+
+func (p *pair) control(shelfshelf.TargetName) (string, bool) {
+	return p.target.Listener.Addr().String(), true
+}
+
+func (p *pair) listed() shelfshelf.Target {
+	return shelfshelf.Target{Name: "t", Pool: "p", Address: p.target.Listener.Addr().String(), Leaving: p.leaving.Load()}
+}
+
+// send sends a request and reads the whole response.
+func (p *pair) send(ctx context.Context, change func(*upstream.Request)) (string, error) {
+	request := upstream.Request{
+		ID: "r", Target: p.listed(), Method: http.MethodPost, RequestURI: "/a?b=c", Host: "h.example", Body: []byte("body"),
+		Header: http.Header{"X-Shelfshelf-Request-Id": []string{"r"}, "X-Shelfshelf-Request-Deadline": []string{"900"}},
+	}
+	if change != nil {
+		change(&request)
+	}
+	response, err := p.client.Send(ctx, request.Target.Address, request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.Via == "" {
+		p.t.Error("a request went over a link that is down")
+	}
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func TestRequestsReachTargetsThroughOthersUnchanged(t *testing.T) {
+	p := newPair(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Shelfshelf-Response-Signature", "s")
+		_, _ = io.WriteString(w, r.Method+" "+r.RequestURI+" "+r.Host+" "+string(body)+" "+r.Header.Get("X-Shelfshelf-Request-Deadline")+" "+r.Header.Get("Shelf-Target"))
+	})
+	for range 3 {
+		got, err := p.send(context.Background(), nil)
+		if want := "POST /a?b=c h.example body 900 "; got != want || err != nil {
+			t.Fatalf("%q, want %q; %v", got, want, err)
+		}
+	}
+	if p.runs.Load() != 3 || p.connections.Load() != 1 {
+		t.Errorf("%d runs on %d connections", p.runs.Load(), p.connections.Load())
+	}
+}
+
+// A response that ends with its connection must not look complete when the other instance or the target
+// breaks it off.
+func TestResponsesThatBreakOffOnTheWayAreIncomplete(t *testing.T) {
+	hijack := func(w http.ResponseWriter, r *http.Request, reset bool) {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nX-Shelfshelf-Request-Id: r\r\n\r\nhalf")
+		time.Sleep(50 * time.Millisecond)
+		if reset {
+			_ = connection.(*net.TCPConn).SetLinger(0)
+		}
+		_ = connection.Close()
+	}
+	for name, c := range map[string]struct {
+		reset, peerDies, closedByTarget bool
+	}{
+		"closed by the target": {},
+		"reset by the target":  {reset: true, closedByTarget: true},
+		"the other dies":       {peerDies: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, nil)
+			p.respond = func(w http.ResponseWriter, r *http.Request) {
+				if c.peerDies {
+					time.AfterFunc(20*time.Millisecond, p.peer.CloseClientConnections)
+				}
+				hijack(w, r, c.reset)
+			}
+			got, err := p.send(context.Background(), nil)
+			whole := !c.reset && !c.peerDies
+			if got != "half" || (err == nil) != whole || upstream.ClosedByTarget(err) != c.closedByTarget {
+				t.Errorf("%q %v", got, err)
+			}
+		})
+	}
+}
+
+// Until the other instance has connected to the target it hasn't been sent the request, so that another way may
+// be taken; from then on the request may have run.
+func TestHandoversThatFailSayWhetherTheRequestMayHaveRun(t *testing.T) {
+	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for name, c := range map[string]struct {
+		peer   http.HandlerFunc
+		notRun bool
+	}{
+		"breaks off before":        {abort, true},
+		"doesn't answer":           {func(http.ResponseWriter, *http.Request) { time.Sleep(400 * time.Millisecond) }, true},
+		"is of another build":      {http.NotFound, true},
+		"says nothing of use":      {func(http.ResponseWriter, *http.Request) {}, true},
+		"breaks off with the body": {func(w http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body); abort(w, r) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, nil)
+			p.serveWith(c.peer)
+			_, err := p.send(context.Background(), nil)
+			if errors.Is(err, shelfshelf.ErrNotRun) != c.notRun || errors.Is(err, shelfshelf.ErrIncompleteResponse) == c.notRun || upstream.ClosedByTarget(err) {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
+
+// Only instances may send requests that way, and a caller's headers don't lead there.
+func TestHostsThatAreNoInstancesReachNoTarget(t *testing.T) {
+	p := newPair(t, func(http.ResponseWriter, *http.Request) {})
+	p.isInstance = false
+	if _, err := p.send(context.Background(), nil); !errors.Is(err, shelfshelf.ErrNotRun) {
+		t.Error(err)
+	}
+	if p.connections.Load() != 0 {
+		t.Error("the target was reached")
+	}
+}
+
+// A request that must not be sent any more once there is a connection is not sent.
+func TestRequestsAreCheckedOnceThereIsAWay(t *testing.T) {
+	p := newPair(t, func(http.ResponseWriter, *http.Request) {})
+	_, err := p.send(context.Background(), func(request *upstream.Request) {
+		request.Prepare = func(*upstream.Request) error { return errors.New("the key was revoked") }
+	})
+	if !errors.Is(err, shelfshelf.ErrNotRun) || p.runs.Load() != 0 {
+		t.Errorf("%v after %d runs", err, p.runs.Load())
+	}
+	p.leaving.Store(true)
+	if _, err := p.send(context.Background(), nil); !errors.Is(err, shelfshelf.ErrNotRun) || p.runs.Load() != 0 {
+		t.Errorf("a target that is leaving got a request: %v", err)
+	}
+}
+
+// When its caller leaves, a request that was handed over stops at its target.
+func TestCallersThatLeaveStopRequestsHandedOver(t *testing.T) {
+	stopped := make(chan struct{})
+	p := newPair(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(stopped)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := p.send(ctx, nil); err == nil {
+		t.Error("a request that its caller left ended well")
+	}
+	select {
+	case <-stopped:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the target still works half a second after the caller left")
+	}
+}
+
+// An instance whose own links fail says so at once, and isn't asked again for a while.
+func TestInstancesThatAreCutOffTakeNoRequests(t *testing.T) {
+	p := newPair(t, func(http.ResponseWriter, *http.Request) {})
+	var asked atomic.Int64
+	cut := &upstream.Client{Clock: clockwork.NewRealClock(), Codec: platform.Headers{}, Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errCut }}
+	links := &forward.Client{Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Codec: platform.Headers{}, Direct: cut, Control: p.control}
+	links.Init()
+	p.server.Direct, p.server.Links = cut, links
+	p.serveWith(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		p.server.ServeHTTP(w, r)
+	}))
+	for range 3 {
+		_, err := p.send(context.Background(), nil)
+		if !errors.Is(err, shelfshelf.ErrOwnLink) && !strings.Contains(err.Error(), "refused") {
+			t.Error(err)
+		}
+	}
+	if asked.Load() != 1 {
+		t.Errorf("asked %d times", asked.Load())
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -42,6 +42,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_store_calls_total{call=%q,table=%q,answered="%t"}`, call, table, answered)).Inc()
 }
 
+// HandoverEnded counts an attempt to hand a request over to another instance, by its outcome.
+func (m *Metrics) HandoverEnded(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_handovers_total{outcome=%q}`, outcome)).Inc()
+}
+
+// ServedForOther counts a request of another instance, by its outcome.
+func (m *Metrics) ServedForOther(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_requests_of_others_total{outcome=%q}`, outcome)).Inc()
+}
+
 func (m *Metrics) countFailedAttempt() {
 	m.set.GetOrCreateCounter("shelf_attempts_failed_total").Inc()
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -79,7 +79,7 @@
 	defer cancel()
 	response, err := c.send(ctx, lease, "")
 	if errors.Is(err, shelfshelf.ErrNotRun) {
-		lease.Release(balance.Result{Failed: true, Unreachable: !c.expired(), Unsent: true})
+		c.releaseUnsent(lease, err)
 		c.recordFailedAttempt(lease, began, err)
 		return nil, err
 	}
@@ -88,7 +88,7 @@
 		return nil, c.failPlainAttempt(lease, began, err)
 	}
 	plain, err := readPlainResponse(response)
-	response.Close()
+	_ = response.Body.Close()
 	if plain != nil {
 		c.addToBuffer(int64(len(plain.body)))
 	}
@@ -134,7 +134,7 @@
 }
 
 func readPlainResponse(response *upstream.Response) (*plainResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -81,6 +81,8 @@
 	queueTime      time.Duration
 	expectedTime   time.Duration
 	targetInFlight int
+	// via is the instance that the latest response came through; empty if it came directly.
+	via string
 	// lastAnswer is the information in the headers of the latest target response.
 	lastAnswer   shelfshelf.ResponseMetadata
 	cachedTokens int
@@ -179,6 +181,9 @@
 		fields = append(fields, "target", c.target, "sent", c.sentAttempts, "turnedAway", c.rejections, "waited", c.queueTime,
 			"expected", c.expectedTime, "inFlight", c.targetInFlight, "cached", c.cachedTokens, "asked", c.slotRequests, "alone", c.chosenLocally)
 	}
+	if c.via != "" {
+		fields = append(fields, "via", c.via)
+	}
 	if c.lastAnswer.LoadKnown {
 		fields = append(fields, "targetRunning", c.lastAnswer.Running, "targetWaiting", c.lastAnswer.Waiting)
 	}
@@ -339,30 +344,51 @@
 func (c *request) send(ctx context.Context, lease *balance.Lease, lastEventID string) (*upstream.Response, error) {
 	attempt := shelfshelf.Attempt{
 		Target:      lease.Target,
-		Timeout:     c.timeLeft(),
 		LastEventID: lastEventID,
 	}
 	if c.customer != nil {
 		attempt.Customer = c.customer.Name
 	}
-	c.charge = c.server.Quota.Recharge(c.charge)
-	c.chargedAt = c.server.Clock.Now()
 	response, err := c.server.Upstream.Send(ctx, lease.Target.Address, upstream.Request{
 		ID:            c.call.ID,
 		Target:        lease.Target,
 		Method:        c.incoming.Method,
 		RequestURI:    c.incoming.RequestURI,
 		Host:          c.incoming.Host,
-		Header:        c.server.Codec.AttemptHeader(c.incoming.Header, attempt),
 		Body:          c.body,
 		NewConnection: c.sentAttempts > 0,
+		Prepare:       func(request *upstream.Request) error { return c.prepareAttempt(request, attempt) },
 	})
 	if err == nil {
 		c.lastAnswer = response.Answer
+		c.via = response.Via
 	}
 	return response, err
 }
 
+// prepareAttempt checks a request again once there is a connection to its target, which may have taken a
+// while, and charges it from now on.
+func (c *request) prepareAttempt(request *upstream.Request, attempt shelfshelf.Attempt) error {
+	if refused := c.checkBeforeSend(); refused != nil {
+		return errors.New(refused.text)
+	}
+	attempt.Timeout = c.timeLeft()
+	request.Header = c.server.Codec.AttemptHeader(c.incoming.Header, attempt)
+	c.charge = c.server.Quota.Recharge(c.charge)
+	c.chargedAt = c.server.Clock.Now()
+	return nil
+}
+
+// releaseUnsent releases the lease of an attempt that did not reach its target. A failure of this instance's
+// own link says nothing of the target.
+func (c *request) releaseUnsent(lease *balance.Lease, err error) {
+	if errors.Is(err, shelfshelf.ErrOwnLink) {
+		lease.Cancel()
+		return
+	}
+	lease.Release(balance.Result{Failed: true, Unreachable: !c.expired(), Unsent: true})
+}
+
 // claimRetry reports whether the request may be sent to another target after a failure, and counts the
 // retry if so. If the failed attempt reached its target, the retry counts against the retry budget;
 // otherwise only maxUnsentAttempts limits it.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -46,6 +46,14 @@
 	HasNewerRevision() bool
 }
 
+// Sender sends requests to targets.
+type Sender interface {
+	// Send sends a request to an address and returns once the head of the response has been read. The error is
+	// ErrNotRun if nothing was sent, joined with ErrOwnLink if that says nothing of the target, and
+	// ErrIncompleteResponse otherwise.
+	Send(ctx context.Context, address string, request upstream.Request) (*upstream.Response, error)
+}
+
 // Server is the HTTP handler for callers' requests. Its exported fields must be set before use.
 type Server struct {
 	Clock    shelfshelf.Clock
@@ -53,7 +61,7 @@
 	Codec    shelfshelf.CallCodec
 	Catalog  Catalog
 	Balancer *balance.Balancer
-	Upstream *upstream.Client
+	Upstream Sender
 	Quota    *quota.Ledger
 	Retries  *retrybudget.Budget
 	// Crashes records which requests were running when targets crashed. Witness detects such crashes.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,7 +87,7 @@
 	defer idleTimer.Stop()
 	response, err := s.send(ctx, lease, s.lastEventID)
 	if errors.Is(err, shelfshelf.ErrNotRun) {
-		lease.Release(balance.Result{Failed: true, Unreachable: !s.expired(), Unsent: true})
+		s.releaseUnsent(lease, err)
 		s.recordFailedAttempt(lease, began, err)
 		return err
 	}
@@ -96,7 +96,7 @@
 		s.mayHaveRun = true
 		return s.failStreamAttempt(ctx, lease, began, err, 0)
 	}
-	defer response.Close()
+	defer func() { _ = response.Body.Close() }()
 	if response.Status != http.StatusOK {
 		return s.handlePlainResponse(lease, began, response)
 	}
@@ -173,7 +173,7 @@
 
 // forwardEvents forwards complete events as they arrive and returns their number.
 func (s *stream) forwardEvents(response *upstream.Response, lease *balance.Lease, idleTimer *time.Timer) (int, error) {
-	reader := &eventReader{source: response}
+	reader := &eventReader{source: response.Body}
 	events := 0
 	for {
 		next, err := reader.next()
--- a/gossip/aggregate.go
+++ b/gossip/aggregate.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -163,6 +165,51 @@
 	return members
 }
 
+// LivePeers returns the addresses of the other instances that are live and not leaving, as far as is known:
+// those of this data centre and those of the others.
+func (n *Node) LivePeers() (local, remote []string) {
+	for _, centre := range n.knownDataCentres() {
+		for _, member := range n.Members(centre) {
+			address := member.Address.String()
+			switch {
+			case address == n.Self.Address:
+			case centre == n.Self.DataCentre:
+				local = append(local, address)
+			default:
+				remote = append(remote, address)
+			}
+		}
+	}
+	return local, remote
+}
+
+// knownDataCentres returns the data centres in which instances are known.
+func (n *Node) knownDataCentres() []shelfshelf.DataCentre {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	centres := map[shelfshelf.DataCentre]bool{n.Self.DataCentre: true}
+	for _, p := range n.peers {
+		centres[p.instance.DataCentre] = true
+	}
+	return slices.Collect(maps.Keys(centres))
+}
+
+// IsInstanceHost reports whether an instance is known at a host's IP address.
+func (n *Node) IsInstanceHost(host string) bool {
+	address, err := netip.ParseAddr(host)
+	if err != nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers {
+		if p.address.Addr() == address {
+			return true
+		}
+	}
+	return false
+}
+
 // SubstituteMembers returns the instances that take over rate limiting for the targets of a data centre that
 // has had no instance for 30 s: the members of the first other data centre by name. It returns none
 // while an instance may still be there, reachable or not, since that instance may be granting the same
--- a/node/build.go
+++ b/node/build.go
@@ -14,6 +14,7 @@
 	"github.com/shelfshelf/shelfshelf/catalog"
 	"github.com/shelfshelf/shelfshelf/crashes"
 	"github.com/shelfshelf/shelfshelf/evacuation"
+	"github.com/shelfshelf/shelfshelf/forward"
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
 	"github.com/shelfshelf/shelfshelf/quota"
@@ -95,6 +96,7 @@
 	if _, system := n.Sockets.(*systemSockets); !system {
 		n.upstream.Dial = n.Sockets.Dial
 	}
+	n.buildForward()
 	n.witness = &crashes.Detector{
 		Clock: n.Clock, Log: logger, Tracker: n.crashes, Dial: n.upstream.Preconnect, Lookup: n.target,
 	}
@@ -105,6 +107,27 @@
 	n.metrics.Gauge("shelf_requests_held_back", func() float64 { return float64(n.crashes.QuarantinedCount()) })
 }
 
+// buildForward makes the parts that send requests over other instances where links to targets fail, and that
+// serve such requests of others.
+func (n *Node) buildForward() {
+	logger := n.Log.WithPrefix("forward")
+	n.forward = &forward.Client{
+		Clock: n.Clock, Log: logger, Codec: n.Platform.Codec, Direct: n.upstream, Peers: n.forwardPeers, Control: n.controlTarget,
+		OnHandover: n.metrics.HandoverEnded,
+	}
+	if _, system := n.Sockets.(*systemSockets); !system {
+		n.forward.Dial = n.Sockets.Dial
+	}
+	n.forward.Init()
+	n.forwardServer = &forward.Server{
+		Clock: n.Clock, Log: logger, Direct: n.upstream, Links: n.forward, Lookup: n.target,
+		IsInstance: func(host string) bool { return n.gossip.IsInstanceHost(host) },
+		OnServed:   n.metrics.ServedForOther,
+	}
+	n.metrics.Gauge("shelf_links_down", func() float64 { return float64(n.forward.LinksDown()) })
+	n.metrics.Gauge("shelf_requests_of_others_in_flight", func() float64 { return float64(n.forwardServer.InFlight()) })
+}
+
 // buildGossip makes the part that tells the other instances and hears them.
 func (n *Node) buildGossip() error {
 	datagrams, err := n.Sockets.ListenPacket(n.Settings.Peer)
@@ -142,7 +165,7 @@
 		Codec:         n.Platform.Codec,
 		Catalog:       n.catalog,
 		Balancer:      n.balancer,
-		Upstream:      n.upstream,
+		Upstream:      n.forward,
 		Crashes:       n.crashes,
 		CrashDetector: n.witness,
 		Quota:         n.quota,
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/shelfshelf/shelfshelf/catalog"
 	"github.com/shelfshelf/shelfshelf/crashes"
 	"github.com/shelfshelf/shelfshelf/evacuation"
+	"github.com/shelfshelf/shelfshelf/forward"
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
 	"github.com/shelfshelf/shelfshelf/quota"
@@ -108,6 +109,10 @@
 	// rolloutKeeper judges new versions, and writes down how far orders have come.
 	rolloutKeeper *rollout.Controller
 	upstream      *upstream.Client
+	// forward sends requests to targets, over other instances where links fail; forwardServer serves those of
+	// other instances.
+	forward       *forward.Client
+	forwardServer *forward.Server
 	gateway       *gateway.Server
 	metrics       *gateway.Metrics
 
@@ -134,7 +139,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
-	for _, part := range []func(context.Context) error{n.catalog.Run, n.gossip.Run, n.relay.Run, n.balancer.Run, n.places.Run, n.keeper.Run, n.crashKeeper.Run, n.rolloutKeeper.Run, n.upstream.Run} {
+	for _, part := range []func(context.Context) error{n.catalog.Run, n.gossip.Run, n.relay.Run, n.balancer.Run, n.places.Run, n.keeper.Run, n.crashKeeper.Run, n.rolloutKeeper.Run, n.upstream.Run, n.forward.Run} {
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
 	callers := &http.Server{
@@ -237,6 +242,7 @@
 func (n *Node) internalHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", n.relay.Handler())
+	mux.Handle("POST "+forward.Path, n.forwardServer)
 	mux.Handle("GET /metrics", n.metricsHandler())
 	return mux
 }
--- a/target.go
+++ b/target.go
@@ -9,6 +9,10 @@
 // ErrNotRun means that the target provably did not run the request.
 var ErrNotRun = errors.New("not run by the target")
 
+// ErrOwnLink means that the target is not reached from this instance, but from others, so that the failure
+// says nothing of the target. It is always joined with ErrNotRun.
+var ErrOwnLink = errors.New("no link to the target, and no other instance took the request")
+
 // ErrRejected means that the target rejected the request itself as invalid without running it, so that
 // no other target would accept it. It is always joined with ErrNotRun.
 var ErrRejected = errors.New("request rejected by the target")
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -9,13 +9,10 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/shelfshelf/shelfshelf"
 )
 
@@ -57,6 +54,9 @@
 	Body       []byte
 	// NewConnection requires a new connection, for example after a failure on a reused one.
 	NewConnection bool
+	// Prepare, if set, is called right before the request is sent and may replace Header. After an error
+	// the request is not sent.
+	Prepare func(*Request) error
 }
 
 // Response is a response whose head has been read and whose body is still to be read.
@@ -64,16 +64,15 @@
 	Status int
 	Header http.Header
 	Answer shelfshelf.ResponseMetadata
-	// Length is the length of the body in bytes, or -1 if the head does not contain it.
+	// Length is the length of the body in bytes, or -1 if the head does not contain it. Framed is set if the
+	// body has a length or is chunked; otherwise it ends when the target closes the connection.
 	Length int64
-
-	client          *Client
-	conn            *conn
-	target          string
-	httpResponse    *http.Response
-	stopCancelWatch func() bool
-	complete        bool
-	failed          bool
+	Framed bool
+	// Via is the instance that the response came through; empty if it came directly.
+	Via string
+	// Body is the body. Its Read returns io.EOF only at the end of a complete response. Close ends the
+	// round trip; before the end of the body, it makes most targets stop processing the request.
+	Body io.ReadCloser
 }
 
 // Client sends requests to targets. The exported fields must be set before use.
@@ -86,6 +85,9 @@
 	// request on its connection was sent. It is also called for late responses to other requests, if they
 	// contain an announcement of the target.
 	OnAnswer func(target shelfshelf.Target, answer shelfshelf.ResponseMetadata, sent time.Time)
+	// OnDial, if set, is called after each attempt to open a connection, with the time that it took and the
+	// error if it failed. It is not called if the caller ended the attempt.
+	OnDial func(address string, took time.Duration, err error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -103,22 +105,11 @@
 // Send sends a request to an address and returns once the head of the response has been read. The error
 // is ErrNotRun if no connection could be opened, so that nothing was sent, and ErrIncompleteResponse otherwise.
 func (c *Client) Send(ctx context.Context, address string, request Request) (*Response, error) {
-	connection, err := c.acquire(ctx, address, request.NewConnection)
-	if err != nil {
-		return nil, eris.Wrap(shelfshelf.ErrNotRun, err.Error())
-	}
-	stopCancelWatch := context.AfterFunc(ctx, func() {
-		// A deadline in the past unblocks pending reads and writes.
-		_ = connection.SetDeadline(time.Unix(1, 0))
-	})
-	response, err := c.roundTrip(connection, request)
+	reserved, err := c.Reserve(ctx, address, request.NewConnection)
 	if err != nil {
-		stopCancelWatch()
-		return nil, &brokenError{cause: c.abandon(ctx, connection, request, err)}
+		return nil, err
 	}
-	response.target = address
-	response.stopCancelWatch = stopCancelWatch
-	return response, nil
+	return reserved.Send(ctx, request)
 }
 
 // Preconnect opens a connection to an address and adds it to the idle connections for the next request.
@@ -154,8 +145,17 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	limited, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
+	began := c.Clock.Now()
+	connection, err := c.dialLimited(limited, address)
+	if c.OnDial != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		c.OnDial(address, c.Clock.Now().Sub(began), err)
+	}
+	return connection, err
+}
+
+func (c *Client) dialLimited(ctx context.Context, address string) (net.Conn, error) {
 	if c.Dial != nil {
 		return c.Dial(ctx, "tcp", address)
 	}
@@ -213,13 +213,12 @@
 		answer := c.reportAnswer(connection, request, response)
 		if answer.ID == request.ID {
 			return &Response{
-				Status:       response.StatusCode,
-				Header:       response.Header,
-				Answer:       answer,
-				Length:       response.ContentLength,
-				client:       c,
-				conn:         connection,
-				httpResponse: response,
+				Status: response.StatusCode,
+				Header: response.Header,
+				Answer: answer,
+				Length: response.ContentLength,
+				Framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+				Body:   &body{client: c, conn: connection, httpResponse: response},
 			}, nil
 		}
 		if err := discardResponse(response); err != nil {
@@ -292,42 +291,6 @@
 	return path
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete response.
-func (r *Response) Read(buffer []byte) (int, error) {
-	n, err := r.httpResponse.Body.Read(buffer)
-	switch {
-	case err == io.EOF:
-		r.complete = true
-	case err != nil:
-		r.failed = true
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			err = context.Canceled
-		}
-	}
-	return n, err
-}
-
-// Framed reports whether the response has a length or is chunked. Otherwise it ends when the connection is
-// closed.
-func (r *Response) Framed() bool {
-	return r.Length >= 0 || len(r.httpResponse.TransferEncoding) > 0
-}
-
-// Close ends the round trip. The connection is kept for the next request if the response was read
-// completely and the connection is reusable. Otherwise it is closed, which makes most targets stop
-// processing the request.
-func (r *Response) Close() {
-	notCancelled := r.stopCancelWatch()
-	reusable := notCancelled && r.complete && !r.failed && r.Framed() && !r.httpResponse.Close && r.conn.reader.Buffered() == 0
-	if !reusable {
-		_ = r.conn.Close()
-		return
-	}
-	r.conn.idleSince = r.client.Clock.Now()
-	r.conn.keepAlive = parseKeepAlive(r.Header)
-	r.client.putIdle(r.target, r.conn)
-}
-
 func (c *Client) putIdle(address string, connection *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -359,6 +322,17 @@
 	}
 }
 
+// CloseIdle closes the idle connections to an address.
+func (c *Client) CloseIdle(address string) {
+	c.mu.Lock()
+	list := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, connection := range list {
+		_ = connection.Close()
+	}
+}
+
 // closeIdle closes the connections that have been idle for at least limit.
 func (c *Client) closeIdle(limit time.Duration) {
 	now := c.Clock.Now()
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -95,8 +95,8 @@
 	if err != nil {
 		return "", err
 	}
-	defer response.Close()
-	body, err := io.ReadAll(response)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
 	return string(body), err
 }
 
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -23,6 +23,21 @@
 	return []error{shelfshelf.ErrIncompleteResponse, e.cause}
 }
 
+// unsentError reports a connection that could not be opened, so that nothing was sent.
+type unsentError struct {
+	cause error
+}
+
+// Error returns the text of the cause, followed by that of ErrNotRun.
+func (e *unsentError) Error() string {
+	return e.cause.Error() + ": " + shelfshelf.ErrNotRun.Error()
+}
+
+// Unwrap makes the error match both ErrNotRun and its cause.
+func (e *unsentError) Unwrap() []error {
+	return []error{shelfshelf.ErrNotRun, e.cause}
+}
+
 // ClosedByTarget reports whether a round trip failed because the target closed or reset the connection.
 func ClosedByTarget(err error) bool {
 	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
