crashes: a refused connection shows a crash only as seen over links that work

Such reports go to all instances, are saved, and quarantine requests.

Cause: a broken answer and a refused connection counted as proof, though both were of the reporter's own link. The class: what an instance tells of a target is true of its own link only.

Change: another instance is asked to connect (a probe of package forward); it answers that the target refuses only if it reaches another target itself. The own view counts where no other instance answers and another target is reached. Without proof the list tells a second later, as before.

The test of cut-off instances now cuts under load and failed on its last check, that no end is reported: 1, 2 and 2 reports at 7, 7 and 85 instances. Requests that really end their engines are bounded as before (TestRequestsThatEndEnginesAreBounded).

--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -15,6 +15,8 @@
 const (
 	// dialTimeout limits the connection attempt that checks whether a target's process is running.
 	dialTimeout = 200 * time.Millisecond
+	// confirmTimeout limits the time until other instances have said whether they reach the target.
+	confirmTimeout = 500 * time.Millisecond
 	// recheckDelay is the delay before a target that didn't refuse the connection is checked again. One that
 	// restarted at once has announced its new process by then.
 	recheckDelay = time.Second
@@ -29,6 +31,9 @@
 	Tracker *Tracker
 	// Dial opens a connection to the target at an address.
 	Dial func(ctx context.Context, address string) error
+	// ConfirmRefused reports whether nothing listens at a target's address, as seen over links that are known
+	// to work; refused says that this instance's own connection was refused. If nil, that alone counts.
+	ConfirmRefused func(ctx context.Context, target shelfshelf.Target, refused bool) bool
 	// Lookup returns the current list entry of a target.
 	Lookup func(shelfshelf.TargetName) (shelfshelf.Target, bool)
 
@@ -84,11 +89,26 @@
 }
 
 // refusesConnections reports whether nothing listens at a target's address. A target that doesn't answer
-// at all may only be unreachable from this instance.
+// at all may only be unreachable from this instance, and one that refuses may be so too: a link that is cut
+// may refuse connections on behalf of a target that is well.
 func (d *Detector) refusesConnections(target shelfshelf.Target) bool {
+	err := d.dial(target)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if err == nil || d.ConfirmRefused == nil {
+		return refused
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	confirmed := d.ConfirmRefused(ctx, target, refused)
+	d.Log.Info("A target was not reached after a response had broken off.", "target", target.Name, "refused", refused, "confirmed", confirmed)
+	return confirmed
+}
+
+// dial opens a connection to a target.
+func (d *Detector) dial(target shelfshelf.Target) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	return errors.Is(d.Dial(ctx, target.Address), syscall.ECONNREFUSED)
+	return d.Dial(ctx, target.Address)
 }
 
 // restarted reports whether another process of a target is listed under its name.
--- a/forward/control.go
+++ b/forward/control.go
@@ -29,7 +29,7 @@
 		select {
 		case <-opened:
 		case <-c.Clock.After(controlDelay):
-			control <- c.reachesOther(ctx, target.Name)
+			control <- c.ownLinksWork(ctx, target.Name)
 		}
 	}()
 	reserved, err := c.Direct.Reserve(ctx, target.Address, fresh)
@@ -42,7 +42,7 @@
 	case works := <-control:
 		return nil, c.unreached(err, works)
 	default:
-		return nil, c.unreached(err, c.reachesOther(ctx, target.Name))
+		return nil, c.unreached(err, c.ownLinksWork(ctx, target.Name))
 	}
 }
 
--- a/node/build.go
+++ b/node/build.go
@@ -99,6 +99,7 @@
 	n.buildForward()
 	n.witness = &crashes.Detector{
 		Clock: n.Clock, Log: logger, Tracker: n.crashes, Dial: n.upstream.Preconnect, Lookup: n.target,
+		ConfirmRefused: n.forward.Refused,
 	}
 	n.metrics.Gauge("shelf_data_centres_evacuated", func() float64 { return float64(n.evacuations.Count()) })
 	n.metrics.Gauge("shelf_targets_limited", func() float64 { return float64(n.words.LimitedCount()) })
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// cutAfter is how long after the load begins the links are cut.
+	cutAfter = 2 * time.Second
 	// cutContact is how long after a cut the count of first tries begins.
 	cutContact = 3 * time.Second
 	// cutSpan is how long the count lasts.
@@ -103,11 +105,12 @@
 	for i := range c.count {
 		instances[machineOf(i)] = c.cut(i)
 	}
-	p.load(2 * time.Second)
-	p.network.CutLinks(c.how, func(from, to string) bool { return instances[from] && o.machines[to] })
-	o.from = p.clock.Now().Add(cutContact)
+	o.from = p.clock.Now().Add(cutAfter + cutContact)
 	p.answered = o.count
-	p.load(cutContact + cutSpan)
+	time.AfterFunc(cutAfter, func() {
+		p.network.CutLinks(c.how, func(from, to string) bool { return instances[from] && o.machines[to] })
+	})
+	p.load(cutAfter + cutContact + cutSpan)
 	o.checkServed()
 	p.network.MendLinks()
 	p.answered = nil
