upstream: a target that is silent for a second or two keeps its connections

As the users' pages now say, TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count: at 1.5 s, a sound target that was silent for 1.0 to 2.0 s lost its idle connections and streams at the second probe, and after 1.5 s those with data under way. Callers saw broken streams, and the target counted as ended or silent.

Change: 3.5 s, over the longest silence and the next probe, and past the fourth retransmission. What this delays is covered otherwise: streams that can go on elsewhere have an idle timeout of their own, and kept connections of a link found down are closed.

Of the other sockets none sets the option (gossip is UDP; relay, store and callers' listeners don't).

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -20,8 +20,10 @@
 	// DialTimeout bounds the time to open a connection. Reaching a target takes about 1 ms and the
 	// handshake another; a target that is unreachable or overloaded does not respond for seconds.
 	DialTimeout = 150 * time.Millisecond
-	// userTimeout is the TCP_USER_TIMEOUT: how long sent data may remain unacknowledged.
-	userTimeout = 1500 * time.Millisecond
+	// userTimeout is the TCP_USER_TIMEOUT: how long sent data may remain unacknowledged. It also decides when
+	// keep-alive probes give up, so it has to outlast a target that is silent for up to 2 s and the next probe;
+	// and data that is lost is sent again only 0.2, 0.6, 1.4 and 3 s later.
+	userTimeout = 3500 * time.Millisecond
 	// maxIdleTime bounds how long an idle connection is kept, since servers close or silently drop idle
 	// connections after some time. A target can shorten it with a Keep-Alive header.
 	maxIdleTime = 4 * time.Second
