announced: targets that say that they are brittle get requests from their owners only

The header was read nowhere, and plain targets were given up to three times their places, each instance by what the others had last reported.

Change: an announcement like a limit, known to all instances (in an entry of its own, which older builds drop), gone with the process or with the first answer without it. While it holds, only the target's owner gives its places, also of plain targets: no instance alone knows how many all have in hand.

--- a/announced.go
+++ b/announced.go
@@ -34,6 +34,10 @@
 	// Leaving is set once the target has announced that it is shutting down; the same process never
 	// revokes that.
 	Leaving bool
+	// Brittle is how many requests the target may have to turn away in a second before it fails; 0 if it has
+	// announced nothing of the kind. BrittleVersion increases with each change by the same process.
+	Brittle        int
+	BrittleVersion uint64
 	// BackoffUntil is the end of the backoff that the target has asked of this instance alone, so it is not
 	// passed on to other instances. It is never moved to an earlier time.
 	BackoffUntil time.Time
--- a/announced/change.go
+++ b/announced/change.go
@@ -12,6 +12,7 @@
 	announcement   shelfshelf.TargetAnnouncement
 	limitChanged   bool
 	leavingChanged bool
+	brittleChanged bool
 	backoffChanged bool
 	// limitReportDue means that a changed limit is due to be logged and, if this instance read it, sent
 	// to the others at once. backoffLogDue means that a changed backoff is due to be logged.
@@ -25,9 +26,10 @@
 	c := announcementChange{
 		target: t.listed[a.Target].Name, announcement: a.TargetAnnouncement,
 		limitChanged: previous.Limit != a.Limit, leavingChanged: previous.Leaving != a.Leaving,
+		brittleChanged: previous.Brittle != a.Brittle,
 		backoffChanged: !previous.BackoffUntil.Equal(a.BackoffUntil),
 	}
-	if previous.Version != a.Version || c.limitChanged || c.leavingChanged {
+	if previous.Version != a.Version || previous.BrittleVersion != a.BrittleVersion || c.limitChanged || c.leavingChanged {
 		a.changedAt = now
 	}
 	c.limitReportDue = c.limitChanged && now.Sub(a.limitLoggedAt) >= minLogInterval
@@ -44,7 +46,7 @@
 // reportChange logs a change and calls OnChange; own means that this instance read it from a response.
 // The caller must not hold t.mu.
 func (t *Tracker) reportChange(c announcementChange, own bool) {
-	if !c.limitChanged && !c.leavingChanged && !c.backoffChanged {
+	if !c.limitChanged && !c.leavingChanged && !c.backoffChanged && !c.brittleChanged {
 		return
 	}
 	if c.limitReportDue {
@@ -55,8 +57,11 @@
 		t.Log.Info("The shutdown announcement of a target changed.", "target", c.target, "leaving", c.announcement.Leaving,
 			"born", c.announcement.StartedAt, "own", own)
 	}
+	if c.brittleChanged {
+		t.Log.Info("A target announced how brittle it is.", "target", c.target, "refusals", c.announcement.Brittle, "own", own)
+	}
 	if c.backoffLogDue {
 		t.Log.Info("A target asked for a backoff.", "target", c.target, "left", c.announcement.BackoffUntil.Sub(t.Clock.Now()))
 	}
-	t.OnChange(c.announcement.Target, own && (c.limitReportDue || c.leavingChanged))
+	t.OnChange(c.announcement.Target, own && (c.limitReportDue || c.leavingChanged || c.brittleChanged))
 }
--- a/announced/status.go
+++ b/announced/status.go
@@ -51,7 +51,7 @@
 func (t *Tracker) rotationOrder(now time.Time) []shelfshelf.TargetKey {
 	keys := make([]shelfshelf.TargetKey, 0, len(t.announcements))
 	for key, a := range t.announcements {
-		if a.Version > 0 || a.changedRecently(now) || t.onlyResponsesSayLeaving(a) {
+		if a.Version > 0 || a.BrittleVersion > 0 || a.changedRecently(now) || t.onlyResponsesSayLeaving(a) {
 			keys = append(keys, key)
 		}
 	}
--- a/announced/targets.go
+++ b/announced/targets.go
@@ -66,7 +66,7 @@
 	case a.Leaving:
 		return listed || now.Sub(a.lastListedAt) <= leavingRetention
 	}
-	return a.Limit.Set && listed
+	return (a.Limit.Set || a.Brittle > 0) && listed
 }
 
 // LimitedCount returns the number of targets with a rate limit.
--- a/announced/tracker.go
+++ b/announced/tracker.go
@@ -47,6 +47,8 @@
 	firstSeenAt time.Time
 	changedAt   time.Time
 	limitSeenAt time.Time
+	// brittleSeenAt is when it last read in a response how brittle the target is, or received that.
+	brittleSeenAt time.Time
 	// limitLoggedAt and backoffLoggedAt are when its limit and its backoff were last logged.
 	limitLoggedAt   time.Time
 	backoffLoggedAt time.Time
@@ -60,6 +62,7 @@
 func (t *Tracker) ObserveResponse(target shelfshelf.Target, answer shelfshelf.ResponseMetadata, sent time.Time) {
 	t.logUnreadable(target.Name, "limit", answer.InvalidLimit)
 	t.logUnreadable(target.Name, "leaving", answer.InvalidLeaving)
+	t.logUnreadable(target.Name, "brittle", answer.InvalidBrittle)
 	t.logUnreadable(target.Name, "rest", answer.InvalidRetryAfter)
 	nothingToDo := !answer.HasAnnouncement() && t.announcementCount.Load() == 0
 	if nothingToDo || answer.Misdirected {
@@ -101,6 +104,11 @@
 	received := shelfshelf.TargetAnnouncement{Target: key, StartedAt: target.StartedAt, Leaving: answer.Leaving}
 	if a != nil && !startedLater(target.StartedAt, a.StartedAt) {
 		received.Version, received.Limit = a.Version, a.Limit
+		received.BrittleVersion, received.Brittle = a.BrittleVersion, a.Brittle
+	}
+	if answer.InvalidBrittle == "" && noteBrittle(a, received, answer.Brittle, sent, now) {
+		received.BrittleVersion++
+		received.Brittle = answer.Brittle
 	}
 	if answer.InvalidLimit == "" && noteLimit(a, received, answer.Limit, sent, now) {
 		received.Version++
@@ -122,7 +130,7 @@
 func (t *Tracker) receive(received shelfshelf.TargetAnnouncement) announcementChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.announcements[received.Target] == nil && received.Version == 0 && !received.Leaving && received.StartedAt.IsZero() {
+	if t.announcements[received.Target] == nil && received.Version == 0 && received.BrittleVersion == 0 && !received.Leaving && received.StartedAt.IsZero() {
 		return announcementChange{}
 	}
 	return t.merge(received, t.Clock.Now())
@@ -179,6 +187,10 @@
 	if received.BackoffUntil.After(a.BackoffUntil) {
 		a.BackoffUntil = received.BackoffUntil
 	}
+	if brittleSupersedes(received, a) {
+		a.Brittle, a.BrittleVersion = received.Brittle, received.BrittleVersion
+		a.brittleSeenAt = now
+	}
 	if supersedes(received, a) {
 		a.Limit, a.Version = received.Limit, received.Version
 		if received.Limit.Set {
--- a/announced/wire.go
+++ b/announced/wire.go
@@ -6,8 +6,8 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
-// WireSize is the maximum encoded size of one announcement in a message, in bytes.
-const WireSize = 36
+// WireSize is the maximum encoded size of one announcement in a message, in bytes: that of two entries.
+const WireSize = 72
 
 // Wire is the CBOR form of an announcement in messages between instances.
 type Wire struct {
@@ -33,10 +33,19 @@
 			w.Born = known.StartedAt.UnixMilli()
 		}
 		wire = append(wire, w)
+		if known.BrittleVersion > 0 {
+			wire = append(wire, brittleToWire(known, w.Born))
+		}
 	}
 	return wire
 }
 
+// brittleToWire returns the entry that tells how brittle a target is: instead of a rate it has the number of
+// refusals, below zero and less one. Older builds drop an entry with such a rate.
+func brittleToWire(known shelfshelf.TargetAnnouncement, born int64) Wire {
+	return Wire{Target: uint32(known.Target), PerSecond: -float64(known.Brittle + 1), Version: known.BrittleVersion, Born: born}
+}
+
 // FromWire returns the announcements of a message. It drops those whose limit isn't a valid number.
 func FromWire(wire []Wire) []shelfshelf.TargetAnnouncement {
 	var announcements []shelfshelf.TargetAnnouncement
@@ -48,6 +57,10 @@
 		if encoded.Born != 0 {
 			received.StartedAt = time.UnixMilli(encoded.Born)
 		}
+		if !encoded.Named && encoded.PerSecond <= -1 {
+			received.Limit, received.Version = shelfshelf.RateLimit{}, 0
+			received.Brittle, received.BrittleVersion = int(-encoded.PerSecond)-1, encoded.Version
+		}
 		if received.Limit.Valid() {
 			announcements = append(announcements, received)
 		}
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -19,14 +19,18 @@
 	MaybeCold bool
 }
 
-// ownerOnly reports whether only owners may grant the slots of a target: it has announced a limit,
-// or may turn cold at any moment.
-func (t *targetState) ownerOnly() bool { return t.hasLimit() || t.coldRate > 0 }
+// ownerOnly reports whether only owners may grant the slots of a target: it has announced a limit or that it
+// is brittle, or may turn cold at any moment.
+func (t *targetState) ownerOnly() bool { return t.hasLimit() || t.isBrittle() || t.coldRate > 0 }
+
+// isBrittle reports whether a target fails when it has to turn requests away. Only its owner knows how many
+// requests it has in hand from all instances.
+func (t *targetState) isBrittle() bool { return t.announcement.Brittle > 0 }
 
 // primaryOwnerOnly reports whether only the primary owner may grant the slots of a target, even if
 // that owner doesn't answer: any other owner would grant the full rate again.
 func (t *targetState) primaryOwnerOnly(now time.Time) bool {
-	return t.hasLimit() || t.maybeCold(now)
+	return t.hasLimit() || t.isBrittle() || t.maybeCold(now)
 }
 
 // maybeCold reports whether the target may be cold now.
--- a/call.go
+++ b/call.go
@@ -75,6 +75,10 @@
 	// parsed, or else empty.
 	Limit        RateLimit
 	InvalidLimit string
+	// Brittle is how many requests the target may have to turn away in a second before it fails; 0 if it
+	// announces nothing of the kind. InvalidBrittle is the text of the header if it could not be parsed.
+	Brittle        int
+	InvalidBrittle string
 	// Leaving is set if the target announces that it is shutting down and wants no more requests.
 	// InvalidLeaving is the text of the header if it could not be parsed.
 	Leaving        bool
@@ -86,7 +90,9 @@
 }
 
 // HasAnnouncement reports whether the response announces something that concerns later requests too.
-func (r ResponseMetadata) HasAnnouncement() bool { return r.Limit.Set || r.Leaving || r.RetryAfter > 0 }
+func (r ResponseMetadata) HasAnnouncement() bool {
+	return r.Limit.Set || r.Leaving || r.RetryAfter > 0 || r.Brittle > 0
+}
 
 // CallCodec decodes and encodes the headers of requests and responses.
 type CallCodec interface {
--- a/fake/server.go
+++ b/fake/server.go
@@ -28,6 +28,10 @@
 	Extra bool
 	// Unframed sends answers without a length.
 	Unframed bool
+	// Brittle is how many requests it may turn away in a second before it falls, said in all its answers; 0
+	// means that it doesn't fall. Places is how many requests it takes at once; 0 means any number.
+	Brittle int
+	Places  int
 	// Slow is the pause before the first byte and between events.
 	Slow time.Duration
 	// Deadly is the body of requests under which the process ends once it has run them
@@ -104,6 +108,9 @@
 	words    words
 	runs     []*Run
 	arrivals []Arrival
+	// refusals are when it turned requests away for want of room, and falls how often it fell.
+	refusals []time.Time
+	falls    int
 }
 
 // SetFaults replaces the faults.
@@ -143,7 +150,10 @@
 	s.mu.Unlock()
 	number, rests := s.speak(w.Header(), r)
 	defer s.answered(number, r)
-	if faults.Refuse || rests {
+	if faults.Brittle > 0 {
+		w.Header().Set("Server-Brittle", strconv.Itoa(faults.Brittle))
+	}
+	if faults.Refuse || rests || s.full(faults) {
 		pause(r.Context(), faults.Late)
 		w.Header().Set("X-Shelfshelf-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -176,7 +186,7 @@
 	case s.Events > 0:
 		s.stream(w, r, run, faults)
 	default:
-		s.plain(w, run, faults)
+		s.plain(w, r, run, faults)
 	}
 }
 
@@ -290,8 +300,18 @@
 	}
 }
 
-func (s *Server) plain(w http.ResponseWriter, run *Run, faults ServerFaults) {
-	time.Sleep(faults.Slow)
+func (s *Server) plain(w http.ResponseWriter, r *http.Request, run *Run, faults ServerFaults) {
+	switch {
+	case faults.Places == 0:
+		time.Sleep(faults.Slow)
+	case !pause(r.Context(), faults.Slow):
+		// A place is free again once its caller has gone.
+		s.end(run, "left")
+		return
+	default:
+		// The place is free before the answer is out.
+		s.end(run, "whole")
+	}
 	body := "answer to " + run.ID
 	switch {
 	case faults.CutAfter > 0 && s.cut():
--- a/node/build.go
+++ b/node/build.go
@@ -103,6 +103,7 @@
 	}
 	n.metrics.Gauge("shelf_data_centres_evacuated", func() float64 { return float64(n.evacuations.Count()) })
 	n.metrics.Gauge("shelf_targets_limited", func() float64 { return float64(n.words.LimitedCount()) })
+	n.metrics.Gauge("shelf_targets_brittle", func() float64 { return float64(n.words.BrittleCount()) })
 	n.metrics.Gauge("shelf_targets_leaving", func() float64 { return float64(n.words.LeavingCount()) })
 	n.metrics.Gauge("shelf_targets_resting", func() float64 { return float64(n.words.BackoffCount()) })
 	n.metrics.Gauge("shelf_requests_held_back", func() float64 { return float64(n.crashes.QuarantinedCount()) })
--- a/slots/wire.go
+++ b/slots/wire.go
@@ -129,6 +129,7 @@
 	for _, announcement := range announced.FromWire(wire.Announcement) {
 		if announcement.Target == m.request.Target {
 			m.request.Announcement = announcement
+			break
 		}
 	}
 	if len(wire.Held) > 0 {
