--- a/fake/server.go
+++ b/fake/server.go
@@ -38,6 +38,8 @@
 	// for so long; empty means that there are none.
 	Deadly      string
 	DeadlyAfter time.Duration
+	// DeadlyPart is the part of prompts under which it ends likewise; empty means that there is none.
+	DeadlyPart string
 	// FailShare is the part of the answers that are 500 after the work, and Late the pause
 	// before an answer and between events beside Slow.
 	FailShare float64
@@ -53,6 +55,14 @@
 	return strings.HasPrefix(run.Path, f.OnlyPath) && beside >= f.OnlyBeside
 }
 
+// deadly reports that the process ends under a request.
+func (f ServerFaults) deadly(run *Run) bool {
+	if f.DeadlyPart != "" && strings.Contains(","+run.Prompt, ","+f.DeadlyPart+":") {
+		return true
+	}
+	return f.Deadly != "" && run.Body == f.Deadly
+}
+
 // Run is one request that a Server has begun to work on.
 type Run struct {
 	ID        string
@@ -61,8 +71,10 @@
 	Deadline  int
 	Key       string
 	Body      string
-	Path      string
-	Method    string
+	// Prompt lists the parts of its prompt.
+	Prompt string
+	Path   string
+	Method string
 	// Orders names the headers that it came with which only this system may set: a caller
 	// that sends them gives the target orders.
 	Orders []string
@@ -171,7 +183,7 @@
 		faults = s.worsen(run, faults)
 	}
 	switch {
-	case faults.Deadly != "" && run.Body == faults.Deadly:
+	case faults.deadly(run):
 		time.Sleep(faults.DeadlyAfter)
 		s.end(run, "died")
 		s.Die()
@@ -217,6 +229,7 @@
 		Key:       r.Header.Get("Authorization"),
 		Deadline:  deadline,
 		Body:      string(body),
+		Prompt:    r.Header.Get("X-Shelfshelf-Prompt-Prefix"),
 		Path:      r.RequestURI,
 		Method:    r.Method,
 		Orders:    ordersIn(r.Header),
