forward: three targets, not one, tell links that fail from a target that has ended

Change: three other targets are tried at once; one that is reached is enough. TestEndedTargetsAreToldFromLinksThatFail has a list with an ended target beside the one asked for.

--- a/forward/client.go
+++ b/forward/client.go
@@ -37,9 +37,9 @@
 	Direct *upstream.Client
 	// Peers returns the other instances that are live.
 	Peers func() []Peer
-	// Control returns the address of another listed target, to find out whether the links of this instance
-	// work at all; false if there is none.
-	Control func(excluded shelfshelf.TargetName) (address string, found bool)
+	// Controls returns the addresses of some other listed targets, to find out whether the links of this
+	// instance work at all.
+	Controls func(excluded shelfshelf.TargetName) []string
 	// Dial opens connections to other instances. If nil, the operating system's dialer is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnHandover, if set, is called with the outcome of each attempt to hand a request over.
--- a/forward/control.go
+++ b/forward/control.go
@@ -58,8 +58,18 @@
 	return outcomeUnreachable
 }
 
-// reachesOther reports whether this instance reaches a target other than one.
+// reachesOther reports whether this instance reaches a target other than one. It tries several at once, as one
+// may have ended too.
 func (c *Client) reachesOther(ctx context.Context, excluded shelfshelf.TargetName) bool {
-	address, found := c.Control(excluded)
-	return found && c.Direct.Preconnect(ctx, address) == nil
+	controls := c.Controls(excluded)
+	results := make(chan error, len(controls))
+	for _, address := range controls {
+		go func() { results <- c.Direct.Preconnect(ctx, address) }()
+	}
+	for range controls {
+		if err := <-results; err == nil {
+			return true
+		}
+	}
+	return false
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -35,9 +35,11 @@
 	connections, runs atomic.Int64
 	leaving           atomic.Bool
 	isInstance        bool
-	client            *forward.Client
-	server            *forward.Server
-	peer              *httptest.Server
+	// ended is an address at which nothing listens.
+	ended  string
+	client *forward.Client
+	server *forward.Server
+	peer   *httptest.Server
 }
 
 func newPair(t *testing.T, respond http.HandlerFunc) *pair {
@@ -54,19 +56,22 @@
 	}
 	p.target.Start()
 	t.Cleanup(p.target.Close)
+	gone := httptest.NewServer(http.NotFoundHandler())
+	p.ended = gone.Listener.Addr().String()
+	gone.Close()
 	clock, logger := clockwork.NewRealClock(), log.New(io.Discard)
 	near := &upstream.Client{Clock: clock, Codec: platform.Headers{}}
-	links := &forward.Client{Clock: clock, Log: logger, Codec: platform.Headers{}, Direct: near, Control: p.control}
+	links := &forward.Client{Clock: clock, Log: logger, Codec: platform.Headers{}, Direct: near, Controls: p.controls}
 	links.Init()
 	p.server = &forward.Server{
 		Clock: clock, Log: logger, Direct: near, Links: links,
-		Lookup:     func(shelfshelf.TargetName) (shelfshelf.Target, bool) { return p.listed(), true },
+		Lookup:     p.lookup,
 		IsInstance: func(string) bool { return p.isInstance },
 	}
 	p.serveWith(p.server)
 	cut := &upstream.Client{Clock: clock, Codec: platform.Headers{}, Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errCut }}
 	p.client = &forward.Client{
-		Clock: clock, Log: logger, Codec: platform.Headers{}, Direct: cut, Control: p.control,
+		Clock: clock, Log: logger, Codec: platform.Headers{}, Direct: cut, Controls: p.controls,
 		Peers: func() []forward.Peer { return []forward.Peer{{Address: p.peer.Listener.Addr().String()}} },
 	}
 	p.client.Init()
@@ -81,8 +86,16 @@
 	p.t.Cleanup(p.peer.Close)
 }
 
-func (p *pair) control(shelfshelf.TargetName) (string, bool) {
-	return p.target.Listener.Addr().String(), true
+// controls are a target that has ended, and one that has not.
+func (p *pair) controls(shelfshelf.TargetName) []string {
+	return []string{p.ended, p.target.Listener.Addr().String()}
+}
+
+func (p *pair) lookup(name shelfshelf.TargetName) (shelfshelf.Target, bool) {
+	if name == "e" {
+		return shelfshelf.Target{Name: "e", Pool: "p", Address: p.ended}, true
+	}
+	return p.listed(), true
 }
 
 func (p *pair) listed() shelfshelf.Target {
@@ -244,7 +257,7 @@
 	p := newPair(t, func(http.ResponseWriter, *http.Request) {})
 	var asked atomic.Int64
 	cut := &upstream.Client{Clock: clockwork.NewRealClock(), Codec: platform.Headers{}, Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errCut }}
-	links := &forward.Client{Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Codec: platform.Headers{}, Direct: cut, Control: p.control}
+	links := &forward.Client{Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Codec: platform.Headers{}, Direct: cut, Controls: p.controls}
 	links.Init()
 	p.server.Direct, p.server.Links = cut, links
 	p.serveWith(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -261,3 +274,17 @@
 		t.Errorf("asked %d times", asked.Load())
 	}
 }
+
+// An instance that reaches some targets tells a target that has ended from links that fail, though another one
+// has ended too.
+func TestEndedTargetsAreToldFromLinksThatFail(t *testing.T) {
+	p := newPair(t, func(http.ResponseWriter, *http.Request) {})
+	for range 20 {
+		if !p.client.Refused(context.Background(), shelfshelf.Target{Name: "e", Pool: "p", Address: p.ended}, true) {
+			t.Fatal("a target that has ended is taken for one behind links that fail")
+		}
+		if p.client.Refused(context.Background(), p.listed(), true) {
+			t.Fatal("a target that another instance reaches is taken for ended")
+		}
+	}
+}
--- a/forward/witness.go
+++ b/forward/witness.go
@@ -60,6 +60,5 @@
 
 // ownLinksWork reports whether this instance reaches another target, or there is none.
 func (c *Client) ownLinksWork(ctx context.Context, excluded shelfshelf.TargetName) bool {
-	_, found := c.Control(excluded)
-	return !found || c.reachesOther(ctx, excluded)
+	return len(c.Controls(excluded)) == 0 || c.reachesOther(ctx, excluded)
 }
--- a/node/build.go
+++ b/node/build.go
@@ -114,7 +114,7 @@
 func (n *Node) buildForward() {
 	logger := n.Log.WithPrefix("forward")
 	n.forward = &forward.Client{
-		Clock: n.Clock, Log: logger, Codec: n.Platform.Codec, Direct: n.upstream, Peers: n.forwardPeers, Control: n.controlTarget,
+		Clock: n.Clock, Log: logger, Codec: n.Platform.Codec, Direct: n.upstream, Peers: n.forwardPeers, Controls: n.controlTargets,
 		OnHandover: n.metrics.HandoverEnded,
 	}
 	if _, system := n.Sockets.(*systemSockets); !system {
--- a/node/forward.go
+++ b/node/forward.go
@@ -20,16 +20,19 @@
 	return peers
 }
 
-// controlTarget returns the address of a listed target other than one that was not reached; false if there is
-// none.
-func (n *Node) controlTarget(excluded shelfshelf.TargetName) (string, bool) {
+// maxControls is how many targets are tried to find out whether the links of this instance work.
+const maxControls = 3
+
+// controlTargets returns the addresses of some listed targets other than one that was not reached.
+func (n *Node) controlTargets(excluded shelfshelf.TargetName) []string {
 	listed := n.catalog.Targets().Targets
+	var controls []string
 	start := rand.IntN(max(len(listed), 1))
 	for i := range listed {
 		target := listed[(start+i)%len(listed)]
-		if target.Name != excluded && !target.Leaving {
-			return target.Address, true
+		if target.Name != excluded && !target.Leaving && len(controls) < maxControls {
+			controls = append(controls, target.Address)
 		}
 	}
-	return "", false
+	return controls
 }
