crashes: blame on parts of prompts that no surviving run has

Cause: blame was on the whole request, by a fingerprint of method, host, path and body. The class: what keeps failing is remembered under a name that is new each time.

Change: the parts that a prompt may share (all but its last) are suspects of a crash like the request itself, with fingerprints of their own, so that messages and what is saved stay as they are. A part is cleared by a stream that goes on for 500 ms after its first event or an answer of 200, of up to a minute before the crash, at any instance; a 500, a 504 and a refusal clear nothing. Four ends that nothing else explains, or six, and half a second in which others can tell of runs that survived, quarantine it. What waits is checked again before it is sent, as before.

--- a/crashes/blame.go
+++ b/crashes/blame.go
@@ -15,13 +15,17 @@
 	// minTotalCrashes is the number of crashes from which a request is quarantined whatever ran beside it.
 	// Without it, two requests that crash targets and often share one would excuse each other.
 	minTotalCrashes = 5
+	// minUnexplainedPartCrashes and minTotalPartCrashes are the same for a part of prompts. They are higher, so
+	// that a request that crashes targets is quarantined before the parts that it shares with others.
+	minUnexplainedPartCrashes = 4
+	minTotalPartCrashes       = 6
 )
 
 // crash is a crash of a target.
 type crash struct {
 	at time.Time
-	// runs holds the requests that the target was running. The value is true for those cleared because
-	// another run of them has completed since.
+	// runs holds the requests that the target was running, and the parts of their prompts. The value is true
+	// for those cleared because another run has completed since or, of a part, shortly before.
 	runs map[shelfshelf.Fingerprint]bool
 }
 
@@ -35,8 +39,11 @@
 	lastAt time.Time
 }
 
-// quarantined reports whether the request has enough crashes to be quarantined.
-func (b blame) quarantined() bool {
+// quarantined reports whether a request or a part of prompts has enough crashes to be quarantined.
+func (b blame) quarantined(request shelfshelf.Fingerprint) bool {
+	if request.IsPart() {
+		return b.unexplained >= minUnexplainedPartCrashes || b.crashes >= minTotalPartCrashes
+	}
 	return b.unexplained >= minUnexplainedCrashes || b.crashes >= minTotalCrashes
 }
 
--- a/crashes/blame_test.go
+++ b/crashes/blame_test.go
@@ -66,12 +66,12 @@
 			}
 			blames := assignBlame(crashes)
 			for _, request := range c.quarantined {
-				if b := blames[shelfshelf.Fingerprint(request)]; !b.quarantined() {
+				if b := blames[shelfshelf.Fingerprint(request)]; !b.quarantined(shelfshelf.Fingerprint(request)) {
 					t.Errorf("request %d is not quarantined: %+v", request, b)
 				}
 			}
 			for _, request := range c.served {
-				if b := blames[shelfshelf.Fingerprint(request)]; b.quarantined() {
+				if b := blames[shelfshelf.Fingerprint(request)]; b.quarantined(shelfshelf.Fingerprint(request)) {
 					t.Errorf("request %d is quarantined: %+v", request, b)
 				}
 			}
--- a/crashes/detector.go
+++ b/crashes/detector.go
@@ -48,18 +48,19 @@
 	requests []shelfshelf.Fingerprint
 }
 
-// ResponseBroken records that a target's response to a request broke off and starts a check. It doesn't block.
-func (d *Detector) ResponseBroken(target shelfshelf.Target, request shelfshelf.Fingerprint) {
+// ResponseBroken records that a target's response to a request broke off and starts a check; parts are those of
+// the request's prompt. It doesn't block.
+func (d *Detector) ResponseBroken(target shelfshelf.Target, request shelfshelf.Fingerprint, parts ...shelfshelf.Fingerprint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c := d.checks[target.Name]; c != nil {
-		c.requests = append(c.requests, request)
+		c.requests = append(append(c.requests, request), parts...)
 		return
 	}
 	if d.checks == nil {
 		d.checks = make(map[shelfshelf.TargetName]*check)
 	}
-	c := &check{target: target, at: d.Clock.Now(), requests: []shelfshelf.Fingerprint{request}}
+	c := &check{target: target, at: d.Clock.Now(), requests: append([]shelfshelf.Fingerprint{request}, parts...)}
 	d.checks[target.Name] = c
 	go d.investigate(c)
 }
--- a/crashes/quarantine.go
+++ b/crashes/quarantine.go
@@ -41,10 +41,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.blamed[request]
-	if !b.quarantined() {
+	now := t.Clock.Now()
+	if !b.quarantined(request) || request.IsPart() && now.Sub(t.blamedSince[request]) < partSettleTime {
 		return Quarantine{}, false
 	}
-	now := t.Clock.Now()
 	if remaining := b.lastAt.Add(quarantineTime(b) + t.instanceDelay(request, b)).Sub(now); remaining > 0 {
 		return Quarantine{Crashes: b.crashes, Remaining: remaining}, true
 	}
@@ -67,8 +67,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	count := 0
-	for _, b := range t.blamed {
-		if b.quarantined() {
+	for request, b := range t.blamed {
+		if b.quarantined(request) {
 			count++
 		}
 	}
--- a/crashes/tracker.go
+++ b/crashes/tracker.go
@@ -39,10 +39,14 @@
 	updates map[shelfshelf.CrashID]update
 	// blamed holds the blame of the requests in the current crashes, and probes the requests let through at
 	// the end of a quarantine.
-	blamed  map[shelfshelf.Fingerprint]blame
-	probes  map[shelfshelf.Fingerprint]probe
-	hash    uint64
-	changed chan struct{}
+	blamed map[shelfshelf.Fingerprint]blame
+	probes map[shelfshelf.Fingerprint]probe
+	// blamedSince is when this instance found that a request or part is to be quarantined. survivedAt is when a
+	// run with a part last survived here.
+	blamedSince map[shelfshelf.Fingerprint]time.Time
+	survivedAt  map[shelfshelf.Fingerprint]time.Time
+	hash        uint64
+	changed     chan struct{}
 }
 
 // Changed returns a channel that receives a value after the known crashes have changed.
@@ -98,8 +102,16 @@
 func (t *Tracker) RequestCompleted(request shelfshelf.Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.clear(request) {
+		t.reassess()
+	}
+}
+
+// clear clears a request or part of the earlier crashes, and reports whether there were any. The caller must
+// hold t.mu.
+func (t *Tracker) clear(request shelfshelf.Fingerprint) bool {
 	if _, suspected := t.blamed[request]; !suspected {
-		return
+		return false
 	}
 	for id, c := range t.crashes {
 		if cleared, ran := c.runs[request]; ran && !cleared {
@@ -107,7 +119,7 @@
 			t.markUpdated(id, true)
 		}
 	}
-	t.reassess()
+	return true
 }
 
 // Merge merges crashes received from another instance. unknownLocally means that other instances of this
@@ -146,6 +158,7 @@
 		t.crashes[received.ID] = c
 	}
 	for _, run := range received.Requests {
+		run.Cleared = run.Cleared || t.survivedBefore(run.Request, c.at)
 		cleared, ran := c.runs[run.Request]
 		if ran && (cleared || !run.Cleared) || !ran && len(c.runs) >= maxRunsPerCrash {
 			continue
@@ -204,13 +217,15 @@
 	t.removeExpired()
 	blamed := assignBlame(t.crashes)
 	for request, b := range blamed {
-		if b.quarantined() && !t.blamed[request].quarantined() {
-			t.Log.Warn("A request is quarantined.", "fingerprint", request, "ends", b.crashes,
+		if b.quarantined(request) && !t.blamed[request].quarantined(request) {
+			t.noteBlamed(request)
+			t.Log.Warn("A request is quarantined.", "fingerprint", request, "part", request.IsPart(), "ends", b.crashes,
 				"unexplained", b.unexplained, "for", quarantineTime(b))
 		}
 	}
 	for request, b := range t.blamed {
-		if b.quarantined() && !blamed[request].quarantined() {
+		if b.quarantined(request) && !blamed[request].quarantined(request) {
+			delete(t.blamedSince, request)
 			t.Log.Info("A request is no longer quarantined.", "fingerprint", request,
 				"ends", blamed[request].crashes, "unexplained", blamed[request].unexplained)
 			delete(t.probes, request)
--- a/fingerprint.go
+++ b/fingerprint.go
@@ -27,6 +27,29 @@
 	return Fingerprint(hash.Sum64())
 }
 
+// partMark marks fingerprints of parts of prompts: their first 16 bits are set. One of 65,536 requests has such
+// a fingerprint by chance, and is then blamed like a part.
+const partMark = Fingerprint(0xffff << 48)
+
+// FingerprintOfPart returns the fingerprint of a part of a prompt, which is the same in all requests that
+// have the part.
+func FingerprintOfPart(id string) Fingerprint {
+	return Fingerprint(xxhash.Sum64String("part:"+id)) | partMark
+}
+
+// FingerprintsOfParts returns the fingerprints of the parts that a prompt may share with others: all but the
+// last, which is the request's own.
+func FingerprintsOfParts(prompt []PromptPart) []Fingerprint {
+	var parts []Fingerprint
+	for i := range len(prompt) - 1 {
+		parts = append(parts, FingerprintOfPart(prompt[i].ID))
+	}
+	return parts
+}
+
+// IsPart reports whether f is the fingerprint of a part of a prompt.
+func (f Fingerprint) IsPart() bool { return f&partMark == partMark }
+
 // ParseFingerprint parses the format that String returns.
 func ParseFingerprint(text string) (Fingerprint, error) {
 	value, err := strconv.ParseUint(text, 16, 64)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -103,7 +103,11 @@
 		return nil, err
 	}
 	c.mayHaveRun = true
-	c.recordSurvived()
+	if plain.status == http.StatusOK {
+		c.recordAnswered()
+	} else {
+		c.recordSurvived()
+	}
 	if plain.status >= http.StatusInternalServerError {
 		lease.Release(balance.Result{Failed: true})
 		err = &statusError{answer: response.Answer}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -60,9 +60,13 @@
 	// bufferedBytes is the buffer space reserved for the request.
 	bufferedBytes int64
 	// fingerprint is the same for all retries of this request by the caller; 0 until the body is read.
-	fingerprint  shelfshelf.Fingerprint
-	tokens       int
-	quotaVerdict quota.Verdict
+	fingerprint shelfshelf.Fingerprint
+	// parts are the fingerprints of the parts of its prompt that it may share with other requests.
+	parts []shelfshelf.Fingerprint
+	// progressRecorded is set once a stream of the request has shown that the parts crash no target.
+	progressRecorded bool
+	tokens           int
+	quotaVerdict     quota.Verdict
 	// charge is the entry counted against the customer's quota, and chargedAt when the request was last
 	// sent, from which the charge counts.
 	charge    quota.Charge
@@ -417,7 +421,7 @@
 func (c *request) recordFailedAttempt(lease *balance.Lease, began time.Time, cause error) {
 	c.server.Metrics.countFailedAttempt()
 	fields := []any{
-		"request", c.call.ID, "fingerprint", c.fingerprint, "target", lease.Target.Name,
+		"request", c.call.ID, "fingerprint", c.fingerprint, "parts", c.parts, "target", lease.Target.Name,
 		"address", lease.Target.Address, "after", c.server.Clock.Now().Sub(began), "sent", c.sentAttempts,
 		"mayHaveRun", c.mayHaveRun, "passed", c.eventsSent, "asked", lease.OwnersAsked, "alone", lease.WithoutOwner, "error", cause,
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -140,6 +140,7 @@
 	}
 	call, err := s.Codec.Call(c.incoming.Header)
 	c.call = call
+	c.parts = shelfshelf.FingerprintsOfParts(call.Prompt)
 	if err != nil {
 		return finalRefusal(http.StatusBadRequest, err.Error())
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -106,7 +106,7 @@
 		return s.failStreamAttempt(ctx, lease, began, err, events)
 	}
 	lease.Release(balance.Result{Events: events})
-	s.recordSurvived()
+	s.recordAnswered()
 	s.status = http.StatusOK
 	s.result = "answered"
 	return nil
@@ -175,6 +175,7 @@
 func (s *stream) forwardEvents(response *upstream.Response, lease *balance.Lease, idleTimer *time.Timer) (int, error) {
 	reader := &eventReader{source: response.Body}
 	events := 0
+	var firstAt time.Time
 	for {
 		next, err := reader.next()
 		if err != nil && err != io.EOF {
@@ -184,7 +185,9 @@
 		now := s.server.Clock.Now()
 		if events == 0 {
 			lease.FirstToken()
+			firstAt = now
 		}
+		s.recordProgress(now.Sub(firstAt))
 		if s.eventsSent > 0 {
 			s.longestEventGap = max(s.longestEventGap, now.Sub(s.lastEventAt))
 		}
