forward: a response without a length is incomplete if its target has ended with it

A target's answer, a stream too, may come with neither a length nor chunks and end with its connection. Where the target's process crashed, and its connection was closed rather than reset, the answer was passed on as complete, a stream that can go on elsewhere was not resumed, and the request and the parts of its prompt were cleared of the crash.

Change: at the end of such a response a connection to the target is opened, which takes the place of the one that the response has used up. If it is refused, and another instance confirms that, the response has broken off. An own link that refuses new connections while old ones live on ends no answer so.

TestResponsesWithoutLengthOfCrashedTargetsAreIncomplete failed before (a whole answer, no error).

--- a/forward/client.go
+++ b/forward/client.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return reserved, nil
+	return directConnection{Reservation: reserved, client: c}, nil
 }
 
 // openAroundLink hands a request over whose target isn't reached from here, and tries the link all the same
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -288,3 +288,57 @@
 		}
 	}
 }
+
+// A response without a length ends with its connection, also when the process of its target crashes: it was
+// passed on as complete, and cleared the request under which the target had crashed.
+func TestResponsesWithoutLengthOfCrashedTargetsAreIncomplete(t *testing.T) {
+	for name, crashes := range map[string]bool{"goes on": false, "crashes": true} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			target := &unframedTarget{listener: listener, crashes: crashes}
+			go target.run()
+			p := newPair(t, func(http.ResponseWriter, *http.Request) {})
+			direct := &upstream.Client{Clock: clockwork.NewRealClock(), Codec: platform.Headers{}}
+			client := &forward.Client{
+				Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Codec: platform.Headers{}, Direct: direct, Controls: p.controls,
+				Peers: func() []forward.Peer { return nil },
+			}
+			client.Init()
+			address := listener.Addr().String()
+			response, err := client.Send(context.Background(), address, upstream.Request{
+				ID: "r", Target: shelfshelf.Target{Name: "u", Pool: "p", Address: address}, Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if string(body) != "id: 1\ndata: x\n\n" || upstream.ClosedByTarget(err) != crashes || (err != nil) != crashes {
+				t.Errorf("%q %v", body, err)
+			}
+		})
+	}
+}
+
+// unframedTarget answers one request without a length.
+type unframedTarget struct {
+	listener net.Listener
+	crashes  bool
+}
+
+func (u *unframedTarget) run() {
+	connection, err := u.listener.Accept()
+	if err != nil {
+		return
+	}
+	_, _ = connection.Read(make([]byte, 4<<10))
+	_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nX-Shelfshelf-Request-Id: r\r\n\r\nid: 1\ndata: x\n\n")
+	if u.crashes {
+		_ = u.listener.Close()
+	}
+	_ = connection.Close()
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -156,7 +156,7 @@
 
 // exchange sends the request and passes the response on.
 func (s *Server) exchange(ctx context.Context, w http.ResponseWriter, reserved *upstream.Reservation, request upstream.Request) (outcome, int) {
-	response, err := reserved.Send(ctx, request)
+	response, err := directConnection{Reservation: reserved, client: s.Links}.Send(ctx, request)
 	if err != nil {
 		told := brokenOutcome(err)
 		w.Header().Set(headerOutcome, string(told))
