gateway: a check that fails right before the send keeps no requests from the target

Since requests are checked again once there is a connection, a key too old, a quarantine or too little time left ended an attempt as not run, which the balancer took for a target that was not reached: it backed off for 250 ms and more and told the target's owner, so that no instance sent it anything.

Change: such a failure (upstream.ErrNotPrepared) cancels the lease like one of an own link. TestFailuresOfOthersDontKeepRequestsFromTargets failed before for the check.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -223,7 +223,7 @@
 	_, err := p.send(context.Background(), func(request *upstream.Request) {
 		request.Prepare = func(*upstream.Request) error { return errors.New("the key was revoked") }
 	})
-	if !errors.Is(err, shelfshelf.ErrNotRun) || p.runs.Load() != 0 {
+	if !errors.Is(err, shelfshelf.ErrNotRun) || !errors.Is(err, upstream.ErrNotPrepared) || p.runs.Load() != 0 {
 		t.Errorf("%v after %d runs", err, p.runs.Load())
 	}
 	p.leaving.Store(true)
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -159,7 +159,7 @@
 	content, err := prepare(request)
 	if err != nil {
 		h.Cancel()
-		return nil, &unsentError{cause: err}
+		return nil, err
 	}
 	stopCancelWatch := context.AfterFunc(ctx, h.cancel)
 	h.body.supply(content)
@@ -185,10 +185,14 @@
 func prepare(request upstream.Request) ([]byte, error) {
 	if request.Prepare != nil {
 		if err := request.Prepare(&request); err != nil {
-			return nil, err
+			return nil, upstream.NotPrepared(err)
 		}
 	}
-	return encodeRequest(request)
+	content, err := encodeRequest(request)
+	if err != nil {
+		return nil, &unsentError{cause: err}
+	}
+	return content, nil
 }
 
 // read reads the head of the target's response.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -384,9 +384,9 @@
 }
 
 // releaseUnsent releases the lease of an attempt that did not reach its target. A failure of this instance's
-// own link says nothing of the target.
+// own link says nothing of the target, nor does a check that failed.
 func (c *request) releaseUnsent(lease *balance.Lease, err error) {
-	if errors.Is(err, shelfshelf.ErrOwnLink) {
+	if errors.Is(err, shelfshelf.ErrOwnLink) || errors.Is(err, upstream.ErrNotPrepared) {
 		lease.Cancel()
 		return
 	}
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"syscall"
 
@@ -23,6 +24,15 @@
 	return []error{shelfshelf.ErrIncompleteResponse, e.cause}
 }
 
+// ErrNotPrepared means that a request's Prepare failed, so that nothing was sent. It is always joined with
+// shelfshelf.ErrNotRun and says nothing of the target.
+var ErrNotPrepared = errors.New("the request must not be sent any more")
+
+// NotPrepared returns the error for a request whose Prepare failed.
+func NotPrepared(cause error) error {
+	return &unsentError{cause: fmt.Errorf("%w: %w", ErrNotPrepared, cause)}
+}
+
 // unsentError reports a connection that could not be opened, so that nothing was sent.
 type unsentError struct {
 	cause error
--- a/upstream/reservation.go
+++ b/upstream/reservation.go
@@ -3,10 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/rotisserie/eris"
-
-	"github.com/shelfshelf/shelfshelf"
 )
 
 // Reservation is an open connection to a target on which nothing has been sent yet. Either Send or Cancel
@@ -32,7 +28,7 @@
 	if request.Prepare != nil {
 		if err := request.Prepare(&request); err != nil {
 			r.Cancel()
-			return nil, eris.Wrap(shelfshelf.ErrNotRun, err.Error())
+			return nil, NotPrepared(err)
 		}
 	}
 	connection := r.conn
