forward: a stopping instance ends the requests that it has taken of others

An instance that stopped waited for its own callers only, so that requests of instances that were cut off, and went over it, were broken off when it ended. It now waits for them within the same limit, and takes no further ones once it refuses its own. TestStoppingInstancesEndWhatTheyHaveTaken.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -252,6 +252,36 @@
 	}
 }
 
+// An instance that stops ends what it has taken of others and takes nothing more.
+func TestStoppingInstancesEndWhatTheyHaveTaken(t *testing.T) {
+	begun := make(chan struct{})
+	p := newPair(t, nil)
+	p.respond = func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(w, "whole")
+	}
+	answered := make(chan string, 1)
+	go func() {
+		got, _ := p.send(context.Background(), nil)
+		answered <- got
+	}()
+	<-begun
+	p.server.Stop()
+	if _, err := p.send(context.Background(), nil); !errors.Is(err, shelfshelf.ErrNotRun) {
+		t.Errorf("a stopping instance took a request: %v", err)
+	}
+	limit, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	p.server.Wait(limit)
+	if limit.Err() != nil || p.server.InFlight() != 0 {
+		t.Error("still in flight")
+	}
+	if got := <-answered; got != "whole" {
+		t.Errorf("%q", got)
+	}
+}
+
 // An instance whose own links fail says so at once, and isn't asked again for a while.
 func TestInstancesThatAreCutOffTakeNoRequests(t *testing.T) {
 	p := newPair(t, func(http.ResponseWriter, *http.Request) {})
--- a/forward/server.go
+++ b/forward/server.go
@@ -25,6 +25,8 @@
 	// when its caller's time is over.
 	serveTimeout = 10 * time.Minute
 	copyBytes    = 32 << 10
+	// waitInterval is how often Wait looks.
+	waitInterval = 20 * time.Millisecond
 )
 
 // Server serves requests of other instances that don't reach a target. Set the exported fields before use. It
@@ -53,6 +55,17 @@
 // Stop refuses further requests.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Wait waits until no request of another instance is being served, or the context ends.
+func (s *Server) Wait(ctx context.Context) {
+	for s.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(waitInterval):
+		}
+	}
+}
+
 // ServeHTTP serves one request of another instance.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !s.IsInstance(hostOf(r.RemoteAddr)) {
--- a/node/stop.go
+++ b/node/stop.go
@@ -33,8 +33,10 @@
 	case <-n.Clock.After(leaveDelay):
 	}
 	n.gateway.RefuseAll()
+	n.forwardServer.Stop()
 	err := server.Shutdown(limit)
-	n.Log.Info("Callers are served.", "after", n.Clock.Now().Sub(began), "cut", n.gateway.InFlight())
+	n.forwardServer.Wait(limit)
+	n.Log.Info("Callers are served.", "after", n.Clock.Now().Sub(began), "cut", n.gateway.InFlight(), "ofOthers", n.forwardServer.InFlight())
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
 	}
