forward: targets that are gone delay requests by 60 ms at most while other instances are asked

Change: a request waits 60 ms after the first failed connection, longer than instances take whose links work; after that, and for 5 s after others didn't reach the target either, they are asked beside requests, at most four times a second and then once.

--- a/forward/client.go
+++ b/forward/client.go
@@ -19,6 +19,10 @@
 	// openTimeout bounds the time until a request is sent over whichever way. What was checked before, such as
 	// the key, has to hold until then.
 	openTimeout = 400 * time.Millisecond
+	// quickHandover is how long a request waits for other instances after the first failure of a connection:
+	// longer than those take whose links work, and than a target that is gone is to delay a request that has
+	// others to go to.
+	quickHandover = 60 * time.Millisecond
 	// enoughUnreached is how many instances have to say that they don't reach a target either.
 	enoughUnreached = 2
 	// idlePerPeer and idleConnTimeout bound the kept connections to other instances.
@@ -95,7 +99,11 @@
 	case linkDoubtful:
 		return c.race(ctx, address, request)
 	case linkDead:
-		return c.openDirectly(ctx, address, request.NewConnection)
+		direct, err := c.openDirectly(ctx, address, request.NewConnection)
+		if err != nil {
+			go c.confirm(request.Target)
+		}
+		return direct, err
 	default:
 		return c.openDirectlyFirst(ctx, address, request)
 	}
@@ -107,14 +115,13 @@
 	if err == nil {
 		return direct, nil
 	}
-	if ctx.Err() != nil {
-		go c.confirm(request.Target)
-		return nil, err
-	}
-	handed, handErr := c.handOver(ctx, request.Target, request.NewConnection, openTimeout-upstream.DialTimeout)
-	if handErr == nil {
-		return handed, nil
+	if ctx.Err() == nil {
+		handed, handErr := c.handOver(ctx, request.Target, request.NewConnection, quickHandover)
+		if handErr == nil {
+			return handed, nil
+		}
 	}
+	go c.confirm(request.Target)
 	return nil, err
 }
 
--- a/forward/links.go
+++ b/forward/links.go
@@ -13,8 +13,13 @@
 	// minFailedDial is the least duration of a dial that got no answer and counts as failed. A shorter one
 	// was ended by a request that had no more time.
 	minFailedDial = 100 * time.Millisecond
-	// deadPeriod is how long a target that other instances couldn't reach either counts as gone.
-	deadPeriod = time.Second
+	// deadPeriod is how long a target that other instances couldn't reach either counts as gone, so that requests
+	// don't wait for others to try. They are asked beside.
+	deadPeriod = 5 * time.Second
+	// confirmInterval is how often other instances are asked for one target beside requests, and
+	// deadConfirmInterval how often if they didn't reach it either.
+	confirmInterval     = 250 * time.Millisecond
+	deadConfirmInterval = time.Second
 	// linkRetention is how long a link is remembered that is neither used nor probed.
 	linkRetention = time.Minute
 )
@@ -43,8 +48,12 @@
 	downAt time.Time
 	// deadUntil is until when the target counts as gone.
 	deadUntil time.Time
-	// confirming is set while other instances are asked whether they reach the target.
-	confirming bool
+	// deadLoggedAt is when that was last logged.
+	deadLoggedAt time.Time
+	// confirming is set while other instances are asked beside requests whether they reach the target, and
+	// confirmedAt is when they last were.
+	confirming  bool
+	confirmedAt time.Time
 }
 
 // poolLinks is what is known of the links to the targets of one pool.
@@ -174,7 +183,16 @@
 	if k == nil || k.confirming {
 		return false
 	}
+	now := l.clock.Now()
+	interval := confirmInterval
+	if now.Before(k.deadUntil) {
+		interval = deadConfirmInterval
+	}
+	if now.Sub(k.confirmedAt) < interval {
+		return false
+	}
 	k.confirming = true
+	k.confirmedAt = now
 	return true
 }
 
@@ -216,6 +234,11 @@
 	}
 	k.deadUntil = l.clock.Now().Add(deadPeriod)
 	k.downAt = time.Time{}
+	now := l.clock.Now()
+	if now.Sub(k.deadLoggedAt) < deadPeriod {
+		return
+	}
+	k.deadLoggedAt = now
 	l.log.Info("Other instances don't reach a target either.", "target", target.Name, "address", target.Address, "instances", instances)
 }
 
