gossip: instances known from digests only may hand requests over too

An instance that joined another data centre lately is known here from that data centre's digest, not as a peer, so that requests that it handed over were refused as those of a stranger. Introduced with the handover; seen while reading it. TestHostsOfInstancesAreKnownFromDigestsToo failed before for that host.

--- a/gossip/aggregate.go
+++ b/gossip/aggregate.go
@@ -194,12 +194,14 @@
 	return slices.Collect(maps.Keys(centres))
 }
 
-// IsInstanceHost reports whether an instance is known at a host's IP address.
+// IsInstanceHost reports whether an instance is known at a host's IP address: as a peer or, of an instance of
+// another data centre that this one has not met, from that data centre's digest.
 func (n *Node) IsInstanceHost(host string) bool {
 	address, err := netip.ParseAddr(host)
 	if err != nil {
 		return false
 	}
+	address = address.Unmap()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, p := range n.peers {
@@ -207,6 +209,13 @@
 			return true
 		}
 	}
+	for _, centre := range n.dataCentres {
+		for _, member := range centre.digest.Members {
+			if member.Address.Addr() == address {
+				return true
+			}
+		}
+	}
 	return false
 }
 
