--- a/crashes/detector_test.go
+++ b/crashes/detector_test.go
@@ -68,3 +68,52 @@
 		})
 	}
 }
+
+// A link that is cut may refuse connections on behalf of a target that is well: instances that had lost their links
+// reported 20 such targets as crashed. What an instance with working links sees decides, both ways.
+func TestRefusalsOverFailingLinksShowNoCrash(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		reach     error
+		confirmed bool
+	}{
+		"refused here only":      {syscall.ECONNREFUSED, false},
+		"refused there too":      {syscall.ECONNREFUSED, true},
+		"not reached here":       {context.DeadlineExceeded, false},
+		"refused to others only": {context.DeadlineExceeded, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := clockwork.NewFakeClock()
+			tracker := newTracker(clock, "a")
+			lookedUp := make(chan struct{}, 2)
+			running := shelfshelf.Target{Name: "t", StartedAt: time.UnixMilli(1000)}
+			detector := &crashes.Detector{
+				Clock: clock, Log: log.New(io.Discard), Tracker: tracker,
+				Dial:           func(context.Context, string) error { return c.reach },
+				ConfirmRefused: func(context.Context, shelfshelf.Target, bool) bool { return c.confirmed },
+				Lookup: func(shelfshelf.TargetName) (shelfshelf.Target, bool) {
+					lookedUp <- struct{}{}
+					return running, true
+				},
+			}
+			detector.ResponseBroken(running, poison)
+			if !c.confirmed {
+				if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+					t.Fatal(err)
+				}
+				clock.Advance(time.Second)
+			}
+			<-lookedUp
+			for range 100 {
+				if (len(tracker.All()) > 0) == c.confirmed {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if (len(tracker.All()) > 0) != c.confirmed {
+				t.Errorf("recorded %d crashes", len(tracker.All()))
+			}
+		})
+	}
+}
