gateway: a stream outlasts a silence of its target of a second and some

A resumable stream was moved to another target after 1 s (1.2 s at the pause of the test's route), which read the prompt anew while the first one went on, and the first one counted as not reached, for all, for 250 ms and more.

Change: 1.5 s. Callers give a stream up after 2 s at the earliest, four times its goal or eight times its pause.

TestStreamsOutlastShortSilence (1.35 s before each event) failed before: two runs, and the stream ended late.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,9 +14,10 @@
 
 const (
 	// idleTimeoutFactor times the route's longest expected gap between events is the idle timeout of a
-	// stream that can be resumed at another target. minIdleTimeout is its lower limit.
+	// stream that can be resumed at another target. minIdleTimeout is its lower limit: a target may be silent
+	// for a second or so and go on, and callers wait for 2 s at least.
 	idleTimeoutFactor = 3
-	minIdleTimeout    = time.Second
+	minIdleTimeout    = 1500 * time.Millisecond
 	// firstEventTimeoutFactor times the lease's expected time is the timeout before the first event,
 	// with minIdleTimeout as its lower limit too.
 	firstEventTimeoutFactor = 3
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -210,6 +210,25 @@
 	}
 }
 
+// A sound target that is silent for a second or so keeps its streams: one that was moved went on at two targets,
+// and its first one counted as gone for all.
+func TestStreamsOutlastShortSilence(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	servers := []*fake.Server{f.serve("e1", "engines", 3), f.serve("e2", "engines", 3)}
+	n := f.start()
+	for _, server := range servers {
+		server.SetFaults(fake.ServerFaults{Slow: 1350 * time.Millisecond})
+	}
+	got := f.ask(n, "r1", "/s/x", nil)
+	if got.body != events("r1", 3) {
+		t.Errorf("%+v", got)
+	}
+	if runs := len(servers[0].Runs()) + len(servers[1].Runs()); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
 // A target that takes no connections costs a request a moment, not its place: the
 // others serve it.
 func TestDarkTargetsCostLittle(t *testing.T) {
