forward: a request that was held up on its way to another instance is not sent

An instance that stood still after it was asked for a request, or a link that lost packets, could deliver the request to the other instance seconds later, which sent it with a deadline too late by as much, perhaps after its caller had gone.

Change: the other instance doesn't send what took longer than 400 ms and the time of its size, or of which nothing comes for a second, and says so, which is certain: not run. TestRequestsHeldUpOnTheWayAreNotSent failed before: the late one ran.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -372,3 +372,42 @@
 	}
 	_ = connection.Close()
 }
+
+// A request that was held up on its way, as by an instance that stood still, is not sent: its deadline would be too
+// late by as much, and its caller may have gone.
+func TestRequestsHeldUpOnTheWayAreNotSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		late time.Duration
+	}{
+		"in time": {0}, "late": {600 * time.Millisecond}, "never": {3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPair(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+			body, content := io.Pipe()
+			request, err := http.NewRequest(http.MethodPost, p.peer.URL+forward.Path, body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("Expect", "100-continue")
+			request.Header.Set("Shelf-Target", "t")
+			request.Header.Set("Shelf-Address", p.listed().Address)
+			go func() {
+				time.Sleep(c.late)
+				_, _ = content.Write(forward.Encode(upstream.Request{ID: "r", Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}}))
+				_ = content.Close()
+			}()
+			transport := &http.Transport{ExpectContinueTimeout: time.Hour}
+			defer transport.CloseIdleConnections()
+			response, err := transport.RoundTrip(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			told := response.Header.Get("Shelf-Outcome")
+			if sent := p.runs.Load() > 0; sent != (c.late == 0) || sent == (told == "unsent") {
+				t.Errorf("%q after %d runs", told, p.runs.Load())
+			}
+		})
+	}
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -21,6 +21,12 @@
 	// maxRequestBytes bounds an encoded request. With maxHeldBytes in memory, no further one is asked for.
 	maxRequestBytes = 18 << 20
 	maxHeldBytes    = 64 << 20
+	// maxTransit is how long a request may be on its way after it was asked for, beside the time that its size
+	// takes at minTransitRate bytes a second. One that is later has a deadline that is too late by as much.
+	maxTransit     = 400 * time.Millisecond
+	minTransitRate = 1 << 20
+	// readSilence is how long nothing of a request may come while it is read.
+	readSilence = time.Second
 	// serveTimeout bounds the time that a request of another instance takes; its own instance ends it sooner
 	// when its caller's time is over.
 	serveTimeout = 10 * time.Minute
@@ -131,13 +137,11 @@
 		w.WriteHeader(http.StatusOK)
 		return outcomeReached
 	}
+	asked := s.Clock.Now()
 	request, held, err := s.read(w, r)
 	defer s.heldBytes.Add(-held)
-	if err != nil {
-		reserved.Cancel()
-		return outcomeUnsent
-	}
-	if _, found := s.lookup(name, target.Address); !found {
+	_, listed := s.lookup(name, target.Address)
+	if err != nil || !listed || s.Clock.Now().Sub(asked) > transitTime(held) {
 		reserved.Cancel()
 		return outcomeUnsent
 	}
@@ -157,9 +161,13 @@
 
 // read asks for the request and reads it.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) (request upstream.Request, held int64, err error) {
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	body := &patientReader{source: http.MaxBytesReader(w, r.Body, maxRequestBytes), control: http.NewResponseController(w)}
+	content, err := io.ReadAll(body)
 	held = int64(len(content))
 	s.heldBytes.Add(held)
+	if err == nil {
+		err = body.control.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		return request, held, err
 	}
@@ -167,6 +175,24 @@
 	return request, held, err
 }
 
+// transitTime returns how long a request of some bytes may be on its way.
+func transitTime(bytes int64) time.Duration {
+	return maxTransit + time.Duration(bytes)*time.Second/minTransitRate
+}
+
+// patientReader reads a request body and gives up when nothing comes for readSilence.
+type patientReader struct {
+	source  io.Reader
+	control *http.ResponseController
+}
+
+func (p *patientReader) Read(buffer []byte) (int, error) {
+	if err := p.control.SetReadDeadline(time.Now().Add(readSilence)); err != nil {
+		return 0, err
+	}
+	return p.source.Read(buffer)
+}
+
 // exchange sends the request and passes the response on.
 func (s *Server) exchange(ctx context.Context, w http.ResponseWriter, reserved *upstream.Reservation, request upstream.Request) (outcome, int) {
 	response, err := directConnection{Reservation: reserved, client: s.Links}.Send(ctx, request)
