--- a/forward/control.go
+++ b/forward/control.go
@@ -21,28 +21,32 @@
 // reserve opens a connection to a target for another instance. Without one, the outcome says why: a target
 // that isn't reached is told from links of this instance that fail by trying another target.
 func (c *Client) reserve(ctx context.Context, target shelfshelf.Target, fresh bool) (*upstream.Reservation, outcome) {
-	control := make(chan bool, 1)
-	begun := make(chan struct{})
-	opened := make(chan struct{})
+	c.links.use(target)
+	// The check begins beside a connection that takes long, or once the connection has failed.
+	failed := make(chan struct{})
+	works := make(chan bool, 1)
+	check, stop := context.WithCancel(ctx)
+	defer stop()
 	go func() {
-		defer close(begun)
 		select {
-		case <-opened:
+		case <-check.Done():
+			return
+		case <-failed:
 		case <-c.Clock.After(controlDelay):
-			control <- c.ownLinksWork(ctx, target.Name)
 		}
+		works <- c.ownLinksWork(check, target.Name)
 	}()
 	reserved, err := c.Direct.Reserve(ctx, target.Address, fresh)
-	close(opened)
 	if err == nil {
 		return reserved, outcomeReached
 	}
-	<-begun
+	close(failed)
 	select {
-	case works := <-control:
-		return nil, c.unreached(err, works)
-	default:
-		return nil, c.unreached(err, c.ownLinksWork(ctx, target.Name))
+	case linksWork := <-works:
+		return nil, c.unreached(err, linksWork)
+	case <-ctx.Done():
+		// The one that asked has gone, which says nothing of the target or the links.
+		return nil, outcomeUnsent
 	}
 }
 
--- a/forward/server.go
+++ b/forward/server.go
@@ -126,7 +126,6 @@
 	ctx, cancel := context.WithTimeout(r.Context(), serveTimeout)
 	defer cancel()
 	probe := r.Header.Get(headerProbe) != ""
-	s.Links.links.use(target)
 	reserved, told := s.Links.reserve(ctx, target, probe || r.Header.Get(headerFresh) == "true")
 	if reserved == nil {
 		return told
