--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -93,7 +93,7 @@
 
 func (p *pair) lookup(name shelfshelf.TargetName) (shelfshelf.Target, bool) {
 	if name == "e" {
-		return shelfshelf.Target{Name: "e", Pool: "p", Address: p.ended}, true
+		return shelfshelf.Target{Name: "e", Pool: "p", Address: p.ended, Leaving: p.leaving.Load()}, true
 	}
 	return p.listed(), true
 }
@@ -317,6 +317,10 @@
 			t.Fatal("a target that another instance reaches is taken for ended")
 		}
 	}
+	p.leaving.Store(true)
+	if !p.client.Refused(context.Background(), shelfshelf.Target{Name: "e", Pool: "p", Address: p.ended}, true) {
+		t.Error("the end of a target that was leaving isn't seen")
+	}
 }
 
 // A response without a length ends with its connection, also when the process of its target crashes: it was
--- a/forward/server.go
+++ b/forward/server.go
@@ -43,7 +43,7 @@
 	Direct *upstream.Client
 	// Links knows which links of this instance fail.
 	Links *Client
-	// Lookup returns the list entry of a target that may get requests.
+	// Lookup returns the list entry of a target.
 	Lookup func(shelfshelf.TargetName) (shelfshelf.Target, bool)
 	// IsInstance reports whether a host is that of an instance.
 	IsInstance func(host string) bool
@@ -116,7 +116,8 @@
 // serve connects to the target, asks for the request and passes the response on. An outcome other than
 // complete, closed or broken means that nothing was sent and no response has been written.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, name shelfshelf.TargetName) outcome {
-	target, found := s.lookup(name, r.Header.Get(headerAddress))
+	probe := r.Header.Get(headerProbe) != ""
+	target, found := s.lookup(name, r.Header.Get(headerAddress), probe)
 	if !found {
 		return outcomeUnknown
 	}
@@ -125,7 +126,6 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), serveTimeout)
 	defer cancel()
-	probe := r.Header.Get(headerProbe) != ""
 	reserved, told := s.Links.reserve(ctx, target, probe || r.Header.Get(headerFresh) == "true")
 	if reserved == nil {
 		return told
@@ -139,7 +139,7 @@
 	asked := s.Clock.Now()
 	request, held, err := s.read(w, r)
 	defer s.heldBytes.Add(-held)
-	_, listed := s.lookup(name, target.Address)
+	_, listed := s.lookup(name, target.Address, false)
 	if err != nil || !listed || s.Clock.Now().Sub(asked) > transitTime(held) {
 		reserved.Cancel()
 		return outcomeUnsent
@@ -152,10 +152,10 @@
 	return told
 }
 
-// lookup returns a target that is listed at an address and may get requests.
-func (s *Server) lookup(name shelfshelf.TargetName, address string) (shelfshelf.Target, bool) {
+// lookup returns a target that is listed at an address and may get requests. A probe may be of one that is leaving.
+func (s *Server) lookup(name shelfshelf.TargetName, address string, probe bool) (shelfshelf.Target, bool) {
 	target, found := s.Lookup(name)
-	return target, found && target.Address == address && !target.Leaving
+	return target, found && target.Address == address && (probe || !target.Leaving)
 }
 
 // read asks for the request and reads it.
