node: a brittle target keeps one place in eight free

An owner gives a place anew as soon as it hears that a request has left, which the target may notice a moment later.

Change: one place in eight stays free while a target says that it is brittle.

--- a/node/places.go
+++ b/node/places.go
@@ -43,9 +43,16 @@
 // capacity returns what is known here of an engine.
 func (n *Node) capacity(key shelfshelf.TargetKey) (slots.Capacity, bool) {
 	count, told, known := n.balancer.Capacity(key)
+	if n.words.Latest(key).Brittle > 0 {
+		count = max(count-count/brittleReserve, 1)
+	}
 	return slots.Capacity{Slots: count, Reported: told}, known
 }
 
+// brittleReserve is the part, one in so many, of a brittle target's places that stays free: its owner learns that a
+// request has left before the target does.
+const brittleReserve = 8
+
 // leastPace is how many requests a second a target with a limit gets at least, also where it
 // takes none: only an answer says that the limit is over.
 const leastPace = 0.2
