forward: a request that was handed over ends with its time at the other instance too

An instance that stood still, or was cut off from the one that it had handed a request to, couldn't end it when its caller's time was over: the target worked on, and its place was taken, for up to ten minutes.

Change: the request brings the time that it may take, which ends it at the other instance, and bounds writes of its response. TestRequestsHandedOverEndWithTheirTime failed before (the target worked on until the test's own limit).

--- a/forward/export_test.go
+++ b/forward/export_test.go
@@ -1,10 +1,14 @@
 package forward
 
-import "github.com/shelfshelf/shelfshelf/upstream"
+import (
+	"time"
+
+	"github.com/shelfshelf/shelfshelf/upstream"
+)
 
 // Encode returns a request as instances send it.
-func Encode(request upstream.Request) []byte {
-	content, err := encodeRequest(request)
+func Encode(request upstream.Request, timeout time.Duration) []byte {
+	content, err := encodeRequest(request, timeout)
 	if err != nil {
 		panic(err)
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -388,25 +388,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := newPair(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-			body, content := io.Pipe()
-			request, err := http.NewRequest(http.MethodPost, p.peer.URL+forward.Path, body)
-			if err != nil {
-				t.Fatal(err)
-			}
-			request.Header.Set("Expect", "100-continue")
-			request.Header.Set("Shelf-Target", "t")
-			request.Header.Set("Shelf-Address", p.listed().Address)
-			go func() {
-				time.Sleep(c.late)
-				_, _ = content.Write(forward.Encode(upstream.Request{ID: "r", Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}}))
-				_ = content.Close()
-			}()
-			transport := &http.Transport{ExpectContinueTimeout: time.Hour}
-			defer transport.CloseIdleConnections()
-			response, err := transport.RoundTrip(request)
-			if err != nil {
-				t.Fatal(err)
-			}
+			response := p.sendRaw(c.late, time.Second)
 			_ = response.Body.Close()
 			told := response.Header.Get("Shelf-Outcome")
 			if sent := p.runs.Load() > 0; sent != (c.late == 0) || sent == (told == "unsent") {
@@ -415,3 +397,59 @@
 		})
 	}
 }
+
+// sendRaw sends a request as an instance does that delivers it late.
+func (p *pair) sendRaw(late, timeout time.Duration) *http.Response {
+	body, content := io.Pipe()
+	request, err := http.NewRequest(http.MethodPost, p.peer.URL+forward.Path, body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	request.Header.Set("Expect", "100-continue")
+	request.Header.Set("Shelf-Target", "t")
+	request.Header.Set("Shelf-Address", p.listed().Address)
+	go func() {
+		time.Sleep(late)
+		encoded := forward.Encode(upstream.Request{ID: "r", Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}}, timeout)
+		_, _ = content.Write(encoded)
+		_ = content.Close()
+	}()
+	transport := &http.Transport{ExpectContinueTimeout: time.Hour}
+	p.t.Cleanup(transport.CloseIdleConnections)
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return response
+}
+
+// A request that was handed over ends with its time also where the instance of its caller can't end it, as one that
+// stands still or is cut off from the other: its target worked on for up to ten minutes.
+func TestRequestsHandedOverEndWithTheirTime(t *testing.T) {
+	stopped := make(chan struct{})
+	p := newPair(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(stopped)
+	})
+	response := p.sendRaw(0, 300*time.Millisecond)
+	defer func() { _ = response.Body.Close() }()
+	select {
+	case <-stopped:
+	case <-time.After(2 * time.Second):
+		t.Error("the target still works after the time is over")
+	}
+}
+
+// The time of a request must not end the next one on the same connection between instances.
+func TestConnectionsBetweenInstancesOutlastRequests(t *testing.T) {
+	p := newPair(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		if got, err := p.send(ctx, nil); got != "whole" || err != nil {
+			t.Errorf("%q %v", got, err)
+		}
+		cancel()
+		time.Sleep(1500 * time.Millisecond)
+	}
+}
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -156,7 +156,7 @@
 // Send sends the request to the instance, which has connected to the target, and returns once the head of the
 // target's response has been read. The error is ErrNotRun or ErrIncompleteResponse.
 func (h *handover) Send(ctx context.Context, request upstream.Request) (*upstream.Response, error) {
-	content, err := prepare(request)
+	content, err := prepare(request, h.timeLeft(ctx))
 	if err != nil {
 		h.Cancel()
 		return nil, err
@@ -181,14 +181,23 @@
 	return response, nil
 }
 
+// timeLeft returns the time until a context ends; 0 if it has no end.
+func (h *handover) timeLeft(ctx context.Context) time.Duration {
+	deadline, set := ctx.Deadline()
+	if !set {
+		return 0
+	}
+	return max(deadline.Sub(h.client.Clock.Now()), time.Millisecond)
+}
+
 // prepare runs the request's last checks and encodes it.
-func prepare(request upstream.Request) ([]byte, error) {
+func prepare(request upstream.Request, timeout time.Duration) ([]byte, error) {
 	if request.Prepare != nil {
 		if err := request.Prepare(&request); err != nil {
 			return nil, upstream.NotPrepared(err)
 		}
 	}
-	content, err := encodeRequest(request)
+	content, err := encodeRequest(request, timeout)
 	if err != nil {
 		return nil, &unsentError{cause: err}
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -27,10 +27,11 @@
 	minTransitRate = 1 << 20
 	// readSilence is how long nothing of a request may come while it is read.
 	readSilence = time.Second
-	// serveTimeout bounds the time that a request of another instance takes; its own instance ends it sooner
-	// when its caller's time is over.
+	// serveTimeout bounds the time that a request of another instance takes whose end isn't known.
 	serveTimeout = 10 * time.Minute
-	copyBytes    = 32 << 10
+	// writeGrace is how long after its end the last of a response may still be written.
+	writeGrace = time.Second
+	copyBytes  = 32 << 10
 	// waitInterval is how often Wait looks.
 	waitInterval = 20 * time.Millisecond
 )
@@ -79,6 +80,9 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
+	// The deadline of the request before on the connection. Writers without deadline support, as in tests, are
+	// left as they are.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	in := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	target := shelfshelf.TargetName(r.Header.Get(headerTarget))
@@ -124,9 +128,7 @@
 	if s.Links.failing(target) {
 		return outcomeCut
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), serveTimeout)
-	defer cancel()
-	reserved, told := s.Links.reserve(ctx, target, probe || r.Header.Get(headerFresh) == "true")
+	reserved, told := s.Links.reserve(r.Context(), target, probe || r.Header.Get(headerFresh) == "true")
 	if reserved == nil {
 		return told
 	}
@@ -137,7 +139,7 @@
 		return outcomeReached
 	}
 	asked := s.Clock.Now()
-	request, held, err := s.read(w, r)
+	request, timeout, held, err := s.read(w, r)
 	defer s.heldBytes.Add(-held)
 	_, listed := s.lookup(name, target.Address, false)
 	if err != nil || !listed || s.Clock.Now().Sub(asked) > transitTime(held) {
@@ -146,6 +148,8 @@
 	}
 	request.Target = target
 	began := s.Clock.Now()
+	ctx, cancel := s.limit(w, r, timeout)
+	defer cancel()
 	told, status := s.exchange(ctx, w, reserved, request)
 	s.Log.Info("A request of another instance has ended.", "request", request.ID, "from", r.RemoteAddr, "target", name,
 		"status", status, "outcome", told, "took", s.Clock.Now().Sub(began))
@@ -159,7 +163,7 @@
 }
 
 // read asks for the request and reads it.
-func (s *Server) read(w http.ResponseWriter, r *http.Request) (request upstream.Request, held int64, err error) {
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (request upstream.Request, timeout time.Duration, held int64, err error) {
 	body := &patientReader{source: http.MaxBytesReader(w, r.Body, maxRequestBytes), control: http.NewResponseController(w)}
 	content, err := io.ReadAll(body)
 	held = int64(len(content))
@@ -168,10 +172,21 @@
 		err = body.control.SetReadDeadline(time.Time{})
 	}
 	if err != nil {
-		return request, held, err
+		return request, 0, held, err
+	}
+	request, timeout, err = decodeRequest(content)
+	return request, timeout, held, err
+}
+
+// limit ends a request with its time, also where the instance that handed it over can't say any more that its
+// caller has gone.
+func (s *Server) limit(w http.ResponseWriter, r *http.Request, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if timeout <= 0 || timeout > serveTimeout {
+		timeout = serveTimeout
 	}
-	request, err = decodeRequest(content)
-	return request, held, err
+	// Writers without deadline support, as in tests, are left as they are.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout + writeGrace))
+	return context.WithTimeout(r.Context(), timeout)
 }
 
 // transitTime returns how long a request of some bytes may be on its way.
--- a/forward/wire.go
+++ b/forward/wire.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -66,6 +67,8 @@
 		Host       string
 		Header     http.Header
 		Body       []byte
+		// Timeout is how long the request may take from now on, in nanoseconds; 0 if that isn't known.
+		Timeout int64
 	}
 	wireHead struct {
 		_      struct{} `cbor:",toarray"`
@@ -76,23 +79,24 @@
 	}
 )
 
-func encodeRequest(request upstream.Request) ([]byte, error) {
+func encodeRequest(request upstream.Request, timeout time.Duration) ([]byte, error) {
 	content, err := cbor.Marshal(wireRequest{
 		ID: string(request.ID), Method: request.Method, RequestURI: request.RequestURI, Host: request.Host,
-		Header: request.Header, Body: request.Body,
+		Header: request.Header, Body: request.Body, Timeout: int64(timeout),
 	})
 	return content, eris.Wrap(err, "encode a request for another instance")
 }
 
-func decodeRequest(content []byte) (upstream.Request, error) {
+func decodeRequest(content []byte) (request upstream.Request, timeout time.Duration, err error) {
 	var wire wireRequest
 	if err := cbor.Unmarshal(content, &wire); err != nil {
-		return upstream.Request{}, eris.Wrap(err, "decode a request of another instance")
+		return request, 0, eris.Wrap(err, "decode a request of another instance")
 	}
-	return upstream.Request{
+	request = upstream.Request{
 		ID: shelfshelf.RequestID(wire.ID), Method: wire.Method, RequestURI: wire.RequestURI, Host: wire.Host,
 		Header: wire.Header, Body: wire.Body,
-	}, nil
+	}
+	return request, time.Duration(wire.Timeout), nil
 }
 
 // writeHead writes the head of a target's response, preceded by its length.
