balance: a request whose engine has no owner reads its target under the lock

Change: the lock is taken. TestListsMayChangeWhileNoOwnerAnswers failed before under the race detector.

--- a/balance/owners.go
+++ b/balance/owners.go
@@ -159,13 +159,20 @@
 		b.recordBackoff(t, answer.RetryAfter)
 		return nil
 	case shelfshelf.SlotNoOwner:
-		if t.ownerOnly() {
+		if a.grantedByOwnerOnly(t) {
 			return a.skipUnresponsiveOwner(t, answer.ID)
 		}
 	}
 	return a.grantLocally(t)
 }
 
+// grantedByOwnerOnly reports whether only the owner may grant the slots of a target, as far as is known now.
+func (a *ownerAcquisition) grantedByOwnerOnly(t *targetState) bool {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	return t.ownerOnly()
+}
+
 // grantLocally takes a slot without a grant of the owner if this instance's own view of the load
 // shows a free one.
 func (a *ownerAcquisition) grantLocally(t *targetState) *Lease {
