node: links are checked by targets that get requests

Cause: what tells links that fail from a target that has ended was drawn from the whole list, three in a row. It also has targets of services that no configuration uses, which may be anything (160 of 176 in the test), and targets that have announced that they leave.

--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shelfshelf/shelfshelf/fake"
+	"github.com/shelfshelf/shelfshelf/node"
 )
 
 const (
@@ -182,3 +183,29 @@
 		o.t.Errorf("%d ends of targets were reported, none has ended: %s", len(lines), lines[0])
 	}
 }
+
+// What tells links that fail from a target that has ended are targets that get requests. Of a list with 160
+// targets of a service that no configuration uses, and three targets that leave, most draws were of those: all
+// instances called themselves cut off, and no end of a target was confirmed.
+func TestLinksAreCheckedByTargetsInUse(t *testing.T) {
+	playLarge(t, 6, false, func(l *large) {
+		p := newLimited(l, 4)
+		p.leave("e1", "p1")
+		p.load(2 * time.Second)
+		serving := make(map[string]bool)
+		for name, address := range p.addresses {
+			serving[address] = name != "e1" && name != "p1" && name != "e0"
+		}
+		for range 100 {
+			controls := node.Controls(l.instances[0], "e0")
+			if len(controls) == 0 {
+				t.Error("no target to check links by")
+			}
+			for _, address := range controls {
+				if !serving[address] {
+					t.Fatalf("links are checked by %s", address)
+				}
+			}
+		}
+	})
+}
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -38,3 +38,6 @@
 	centre, known := n.balancer.DataCentreOf(key)
 	return known && n.places.Owns(key, centre)
 }
+
+// Controls returns the addresses of the targets by which one finds out whether its links work.
+func Controls(n *Node, excluded shelfshelf.TargetName) []string { return n.controlTargets(excluded) }
