forward: the end of a target that other instances don't list yet is seen

Where an engine crashes right after its start, before other instances have its entry, its end went unproven, and with it the blame on the request: their answer that they don't know the target counted as one against the own view, as did that their own links fail. Seen while reading; the time is that in which engines come back while a deadly part crashes them.

Change: only an instance that can't reach the target, though its links work, speaks against a refusal seen here, which counts where this instance reaches other targets.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -34,7 +34,9 @@
 	// connections counts the connections to the target, runs the requests there.
 	connections, runs atomic.Int64
 	leaving           atomic.Bool
-	isInstance        bool
+	// unknown is set while the other instance doesn't know any target.
+	unknown    atomic.Bool
+	isInstance bool
 	// ended is an address at which nothing listens.
 	ended  string
 	client *forward.Client
@@ -92,6 +94,9 @@
 }
 
 func (p *pair) lookup(name shelfshelf.TargetName) (shelfshelf.Target, bool) {
+	if p.unknown.Load() {
+		return shelfshelf.Target{}, false
+	}
 	if name == "e" {
 		return shelfshelf.Target{Name: "e", Pool: "p", Address: p.ended, Leaving: p.leaving.Load()}, true
 	}
@@ -453,3 +458,24 @@
 		time.Sleep(1500 * time.Millisecond)
 	}
 }
+
+// A target that other instances don't know yet, as one that has just started, is told from links that fail by this
+// instance's own view: its crashes went unproven.
+func TestEndsOfTargetsThatOthersDontKnowAreSeen(t *testing.T) {
+	for name, c := range map[string]struct {
+		linksWork, want bool
+	}{
+		"links work": {true, true}, "links fail": {false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, func(http.ResponseWriter, *http.Request) {})
+			p.unknown.Store(true)
+			if c.linksWork {
+				p.client.Direct.Dial = nil
+			}
+			if got := p.client.Refused(context.Background(), shelfshelf.Target{Name: "e", Pool: "p", Address: p.ended}, true); got != c.want {
+				t.Errorf("%t", got)
+			}
+		})
+	}
+}
--- a/forward/witness.go
+++ b/forward/witness.go
@@ -12,26 +12,27 @@
 const maxWitnesses = 4
 
 // Refused reports whether nothing listens at a target's address, as seen by another instance whose links work;
-// refusedHere says that the own connection was refused. The own view counts only if no other instance answers
-// and this one reaches other targets: a link that is cut may refuse connections on behalf of a target.
+// refusedHere says that the own connection was refused. The own view counts only if no other instance can tell and
+// this one reaches other targets: a link that is cut may refuse connections on behalf of a target.
 func (c *Client) Refused(ctx context.Context, target shelfshelf.Target, refusedHere bool) bool {
 	c.links.use(target)
-	answered := false
+	doubted := false
 	witnesses := c.peers.choose(c.Peers())
 	for _, peer := range witnesses[:min(len(witnesses), maxWitnesses)] {
 		told := c.askWitness(ctx, peer, target)
-		answered = answered || told != ""
 		switch told {
 		case outcomeReached:
 			c.links.reachedBy(target, peer)
 			return false
 		case outcomeRefused:
 			return true
+		case outcomeUnreachable:
+			doubted = true
 		default:
-			// Another one may know.
+			// It can't tell: it doesn't answer, its own links fail, or it doesn't know the target yet.
 		}
 	}
-	return refusedHere && !answered && c.ownLinksWork(ctx, target.Name)
+	return refusedHere && !doubted && c.ownLinksWork(ctx, target.Name)
 }
 
 // askWitness asks an instance whether it reaches a target; an empty outcome means that it gave no answer.
