crashes: that a part survived is told within the data centre at once

An instance that hears of a crash, and knows that a run with one of its parts survived, clears the part. Where the crash came from its own data centre, this stayed out of its next statuses there, as the others had the crash from the same source; they learnt it when they fetched all crashes, a second later, and could quarantine a customer's part until then.

Change: such a clearing counts as unknown in the data centre. TestClearedPartsAreToldWithinTheDataCentre failed before.

--- a/crashes/parts_test.go
+++ b/crashes/parts_test.go
@@ -81,3 +81,21 @@
 		t.Error("a part is quarantined with which a run survived")
 	}
 }
+
+// A crash that was told within the data centre is cleared there too by who knows of a run that survived: the others
+// had it from the same source, so that the clearing was kept back from them until they fetched everything.
+func TestClearedPartsAreToldWithinTheDataCentre(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	saw, served := newTracker(clock, "a"), newTracker(clock, "b")
+	served.PartsSurvived([]shelfshelf.Fingerprint{customerPart})
+	for i := range 6 {
+		crashWhileRunning(saw, clock, fmt.Sprint("t", i), shelfshelf.Fingerprint(100+i), customerPart)
+	}
+	served.Merge(saw.Updates(false), false)
+	saw.Merge(served.Updates(false), false)
+	clock.Advance(time.Second)
+	if quarantined(saw, customerPart) {
+		t.Error("a part is quarantined with which a run survived")
+	}
+}
--- a/crashes/tracker.go
+++ b/crashes/tracker.go
@@ -158,7 +158,11 @@
 		t.crashes[received.ID] = c
 	}
 	for _, run := range received.Requests {
-		run.Cleared = run.Cleared || t.survivedBefore(run.Request, c.at)
+		if !run.Cleared && t.survivedBefore(run.Request, c.at) {
+			run.Cleared = true
+			// Those that had the crash from the same source don't know this.
+			unknownLocally = true
+		}
 		cleared, ran := c.runs[run.Request]
 		if ran && (cleared || !run.Cleared) || !ran && len(c.runs) >= maxRunsPerCrash {
 			continue
