forward: requests of others have room in memory before they are asked for

Where everybody hands requests to one instance, up to 256 bodies of some megabytes each could be read at once: they were counted when they had come, against 64 MB beside a memory of 256 MB. A process that grows over its memory ends with all that it carries. Seen while reading.

Change: a request announces the size of its body, and takes room for it, a twentieth of the memory for all, before it is asked for; without room it is refused as busy, and has certainly not run. (Counted as it comes, a refusal in the middle reset the connection, and the sender couldn't tell: tried, and left.) TestLargeRequestsOfOthersFitIntoMemory fails without the bound (40 senders of 1 MB, room for 4: nobody is refused).

--- a/forward/client.go
+++ b/forward/client.go
@@ -116,7 +116,7 @@
 		return direct, nil
 	}
 	if ctx.Err() == nil {
-		handed, handErr := c.handOver(ctx, request.Target, request.NewConnection, quickHandover)
+		handed, handErr := c.handOver(ctx, request, quickHandover)
 		if handErr == nil {
 			return handed, nil
 		}
@@ -137,7 +137,7 @@
 // openAroundLink hands a request over whose target isn't reached from here, and tries the link all the same
 // if nobody takes it.
 func (c *Client) openAroundLink(ctx context.Context, address string, request upstream.Request) (connection, error) {
-	handed, err := c.handOver(ctx, request.Target, request.NewConnection, openTimeout-upstream.DialTimeout)
+	handed, err := c.handOver(ctx, request, openTimeout-upstream.DialTimeout)
 	if err == nil {
 		return handed, nil
 	}
@@ -157,7 +157,7 @@
 	defer c.links.endConfirm(target)
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	handed, err := c.handOver(ctx, target, false, openTimeout)
+	handed, err := c.handOver(ctx, upstream.Request{Target: target}, openTimeout)
 	if err == nil {
 		handed.Cancel()
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -411,6 +411,7 @@
 		p.t.Fatal(err)
 	}
 	request.Header.Set("Expect", "100-continue")
+	request.Header.Set("Shelf-Size", "0")
 	request.Header.Set("Shelf-Target", "t")
 	request.Header.Set("Shelf-Address", p.listed().Address)
 	go func() {
@@ -479,3 +480,40 @@
 		})
 	}
 }
+
+// Where everybody hands large requests to one instance, it takes those for which it has memory. They were counted
+// once they had been read, so that 256 of them could come at once.
+func TestLargeRequestsOfOthersFitIntoMemory(t *testing.T) {
+	const size, limit, senders = 1 << 20, 4 << 20, 40
+	release := make(chan struct{})
+	p := newPair(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	})
+	p.server.MaxHeldBytes = limit
+	results := make(chan error, senders)
+	for range senders {
+		go func() {
+			_, err := p.send(context.Background(), func(request *upstream.Request) { request.Body = make([]byte, size) })
+			results <- err
+		}()
+	}
+	refused := 0
+	for range senders - limit/size {
+		if err := <-results; !errors.Is(err, shelfshelf.ErrNotRun) {
+			t.Errorf("%v", err)
+		}
+		refused++
+	}
+	for end := time.Now().Add(2 * time.Second); p.runs.Load() < limit/size && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if runs := p.runs.Load(); runs != limit/size {
+		t.Errorf("%d requests of %d bytes run at once, %d refused; allowed %d bytes", runs, size, refused, limit)
+	}
+	close(release)
+	for range senders - refused {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -17,12 +17,13 @@
 
 // handOver asks other instances to connect to a target, one after the other, until one has. The error is
 // ErrNotRun, joined with ErrOwnLink unless other instances don't reach the target either.
-func (c *Client) handOver(ctx context.Context, target shelfshelf.Target, fresh bool, within time.Duration) (connection, error) {
+func (c *Client) handOver(ctx context.Context, request upstream.Request, within time.Duration) (connection, error) {
+	target := request.Target
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	var unreached []string
 	for _, address := range c.peers.choose(c.Peers()) {
-		h, answer := c.ask(ctx, address, target, fresh)
+		h, answer := c.ask(ctx, address, request)
 		if answer == outcomeReached {
 			c.recordReached(target, address, unreached)
 			return h, nil
@@ -69,19 +70,20 @@
 	err      error
 }
 
-// ask asks an instance to connect to a target.
-func (c *Client) ask(ctx context.Context, peer string, target shelfshelf.Target, fresh bool) (*handover, outcome) {
+// ask asks an instance to connect to a request's target.
+func (c *Client) ask(ctx context.Context, peer string, wanted upstream.Request) (*handover, outcome) {
 	exchange, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := &handover{client: c, peer: peer, body: newPendingBody(), answered: make(chan answer, 1), cancel: cancel}
 	connected := make(chan struct{})
 	trace := &httptrace.ClientTrace{Got100Continue: sync.OnceFunc(func() { close(connected) })}
-	request, err := newRequest(httptrace.WithClientTrace(exchange, trace), peer, target, h.body)
+	request, err := newRequest(httptrace.WithClientTrace(exchange, trace), peer, wanted.Target, h.body)
 	if err != nil {
 		cancel()
 		return nil, ""
 	}
 	request.Header.Set("Expect", "100-continue")
-	request.Header.Set(headerFresh, strconv.FormatBool(fresh))
+	request.Header.Set(headerFresh, strconv.FormatBool(wanted.NewConnection))
+	request.Header.Set(headerSize, strconv.Itoa(len(wanted.Body)))
 	c.peers.begin(peer)
 	go h.run(request)
 	told := h.await(ctx, connected)
--- a/forward/race.go
+++ b/forward/race.go
@@ -24,7 +24,7 @@
 		results <- attempt{connection: opened, err: err, direct: true}
 	}()
 	go func() {
-		opened, err := c.handOver(ways, request.Target, request.NewConnection, openTimeout)
+		opened, err := c.handOver(ways, request, openTimeout)
 		results <- attempt{connection: opened, err: err}
 	}()
 	var failed error
--- a/forward/server.go
+++ b/forward/server.go
@@ -18,15 +18,10 @@
 	// maxRequests is how many requests of other instances are served at once. With more, an instance that
 	// most others come to would serve its own callers late.
 	maxRequests = 256
-	// maxRequestBytes bounds an encoded request. With maxHeldBytes in memory, no further one is asked for.
-	maxRequestBytes = 18 << 20
-	maxHeldBytes    = 64 << 20
 	// maxTransit is how long a request may be on its way after it was asked for, beside the time that its size
 	// takes at minTransitRate bytes a second. One that is later has a deadline that is too late by as much.
 	maxTransit     = 400 * time.Millisecond
 	minTransitRate = 1 << 20
-	// readSilence is how long nothing of a request may come while it is read.
-	readSilence = time.Second
 	// serveTimeout bounds the time that a request of another instance takes whose end isn't known.
 	serveTimeout = 10 * time.Minute
 	// writeGrace is how long after its end the last of a response may still be written.
@@ -48,6 +43,9 @@
 	Lookup func(shelfshelf.TargetName) (shelfshelf.Target, bool)
 	// IsInstance reports whether a host is that of an instance.
 	IsInstance func(host string) bool
+	// MaxHeldBytes bounds the bodies in memory, all together; 0 means unlimited. A request whose body doesn't fit
+	// is not taken.
+	MaxHeldBytes int64
 	// OnServed, if set, is called with the outcome of each request.
 	OnServed func(outcome string)
 
@@ -87,7 +85,7 @@
 	defer s.inFlight.Add(-1)
 	target := shelfshelf.TargetName(r.Header.Get(headerTarget))
 	told := outcomeBusy
-	if in <= maxRequests && s.heldBytes.Load() < maxHeldBytes && !s.stopping.Load() {
+	if in <= maxRequests && !s.stopping.Load() {
 		told = s.serve(w, r, target)
 	}
 	if s.OnServed != nil {
@@ -138,11 +136,16 @@
 		w.WriteHeader(http.StatusOK)
 		return outcomeReached
 	}
+	body, room := s.holdBody(w, r)
+	if !room {
+		reserved.Cancel()
+		return outcomeBusy
+	}
+	defer body.release()
 	asked := s.Clock.Now()
-	request, timeout, held, err := s.read(w, r)
-	defer s.heldBytes.Add(-held)
+	request, timeout, err := body.decode()
 	_, listed := s.lookup(name, target.Address, false)
-	if err != nil || !listed || s.Clock.Now().Sub(asked) > transitTime(held) {
+	if err != nil || !listed || s.Clock.Now().Sub(asked) > transitTime(body.read) {
 		reserved.Cancel()
 		return outcomeUnsent
 	}
@@ -162,22 +165,6 @@
 	return target, found && target.Address == address && (probe || !target.Leaving)
 }
 
-// read asks for the request and reads it.
-func (s *Server) read(w http.ResponseWriter, r *http.Request) (request upstream.Request, timeout time.Duration, held int64, err error) {
-	body := &patientReader{source: http.MaxBytesReader(w, r.Body, maxRequestBytes), control: http.NewResponseController(w)}
-	content, err := io.ReadAll(body)
-	held = int64(len(content))
-	s.heldBytes.Add(held)
-	if err == nil {
-		err = body.control.SetReadDeadline(time.Time{})
-	}
-	if err != nil {
-		return request, 0, held, err
-	}
-	request, timeout, err = decodeRequest(content)
-	return request, timeout, held, err
-}
-
 // limit ends a request with its time, also where the instance that handed it over can't say any more that its
 // caller has gone.
 func (s *Server) limit(w http.ResponseWriter, r *http.Request, timeout time.Duration) (context.Context, context.CancelFunc) {
@@ -194,19 +181,6 @@
 	return maxTransit + time.Duration(bytes)*time.Second/minTransitRate
 }
 
-// patientReader reads a request body and gives up when nothing comes for readSilence.
-type patientReader struct {
-	source  io.Reader
-	control *http.ResponseController
-}
-
-func (p *patientReader) Read(buffer []byte) (int, error) {
-	if err := p.control.SetReadDeadline(time.Now().Add(readSilence)); err != nil {
-		return 0, err
-	}
-	return p.source.Read(buffer)
-}
-
 // exchange sends the request and passes the response on.
 func (s *Server) exchange(ctx context.Context, w http.ResponseWriter, reserved *upstream.Reservation, request upstream.Request) (outcome, int) {
 	response, err := directConnection{Reservation: reserved, client: s.Links}.Send(ctx, request)
--- a/forward/wire.go
+++ b/forward/wire.go
@@ -22,7 +22,9 @@
 	headerTarget  = "Shelf-Target"
 	headerAddress = "Shelf-Address"
 	headerFresh   = "Shelf-Fresh"
-	headerProbe   = "Shelf-Probe"
+	// headerSize is the size of the request's own body in bytes, for which the instance needs room.
+	headerSize  = "Shelf-Size"
+	headerProbe = "Shelf-Probe"
 	// headerOutcome is an outcome in the head of a response, or in the trailer after the body of a target's
 	// response.
 	headerOutcome = "Shelf-Outcome"
--- a/node/build.go
+++ b/node/build.go
@@ -123,8 +123,9 @@
 	n.forward.Init()
 	n.forwardServer = &forward.Server{
 		Clock: n.Clock, Log: logger, Direct: n.upstream, Links: n.forward, Lookup: n.target,
-		IsInstance: func(host string) bool { return n.gossip.IsInstanceHost(host) },
-		OnServed:   n.metrics.ServedForOther,
+		IsInstance:   func(host string) bool { return n.gossip.IsInstanceHost(host) },
+		MaxHeldBytes: int64(othersShare * float64(n.Settings.MemoryMB<<20)),
+		OnServed:     n.metrics.ServedForOther,
 	}
 	n.metrics.Gauge("shelf_links_down", func() float64 { return float64(n.forward.LinksDown()) })
 	n.metrics.Gauge("shelf_requests_of_others_in_flight", func() float64 { return float64(n.forwardServer.InFlight()) })
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,8 @@
 	// heldShare is the part of the memory that bodies may take which are held for callers: a body
 	// that is read takes up to twice its size, and the rest is for what the instance knows.
 	heldShare = 0.2
+	// othersShare is the same for requests of other instances, which are held twice while they are read.
+	othersShare = 0.05
 	// crowdMargin is how many connections may be new at once while others make room.
 	crowdMargin = 16
 )
