forward: an answer in place of a question for the request doesn't hold a request for ever

An instance that answered a handover as a probe, that it reached the target, without asking for the request, as one of another build might, left the request waiting for a second answer that never came, past its deadline and after its caller had gone.

Change: such an answer counts as none. The case in TestHandoversThatFailSayWhetherTheRequestMayHaveRun hung before until the test's own limit.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -197,6 +197,7 @@
 		"doesn't answer":           {func(http.ResponseWriter, *http.Request) { time.Sleep(400 * time.Millisecond) }, true},
 		"is of another build":      {http.NotFound, true},
 		"says nothing of use":      {func(http.ResponseWriter, *http.Request) {}, true},
+		"reaches but doesn't ask":  {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Shelf-Outcome", "reached") }, true},
 		"breaks off with the body": {func(w http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body); abort(w, r) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -141,7 +141,12 @@
 	if got.response.StatusCode == http.StatusNotFound || got.response.StatusCode == http.StatusMethodNotAllowed {
 		return outcomeOldBuild
 	}
-	return outcome(got.response.Header.Get(headerOutcome))
+	told := outcome(got.response.Header.Get(headerOutcome))
+	if told == outcomeReached {
+		// It didn't ask for the request, and its answer is there already: nothing more would come.
+		return ""
+	}
+	return told
 }
 
 // Cancel gives the exchange up. Nothing is sent to the target if Send was not called.
