forward: a handover that breaks before any of the request is written has not run

Where an instance asked for a request and its connection broke before the request was written, the request counted as one that may have run: a call that may run once only ended with 502, and another instance wasn't asked. Seen while reading.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -518,3 +518,43 @@
 		}
 	}
 }
+
+// Once another instance has asked for a request, but before any of it has been written, it has certainly not run:
+// a call that may run once only ended with 502 instead of going elsewhere.
+func TestHandoversThatBreakBeforeTheRequestIsWrittenHaveNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		content string
+		wait    time.Duration
+	}{
+		"breaks off after asking":        {"HTTP/1.1 100 Continue\r\n\r\n", 100 * time.Millisecond},
+		"says reached and never asks":    {"HTTP/1.1 200 OK\r\nShelf-Outcome: reached\r\nContent-Length: 0\r\n\r\n", 0},
+		"says complete and never asks":   {"HTTP/1.1 200 OK\r\nShelf-Outcome: complete\r\nContent-Length: 0\r\n\r\n", 0},
+		"sends what is no answer at all": {"what is this\r\n\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPair(t, nil)
+			p.serveWith(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				connection, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(connection, c.content)
+				time.Sleep(20 * time.Millisecond)
+				_ = connection.Close()
+			}))
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			_, err := p.send(ctx, func(request *upstream.Request) {
+				request.Prepare = func(*upstream.Request) error {
+					time.Sleep(c.wait)
+					return nil
+				}
+			})
+			if !errors.Is(err, shelfshelf.ErrNotRun) || errors.Is(err, shelfshelf.ErrIncompleteResponse) {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
