--- a/forward/handover.go
+++ b/forward/handover.go
@@ -213,10 +213,7 @@
 
 // read reads the head of the target's response.
 func (h *handover) read(got answer) (*upstream.Response, error) {
-	switch {
-	case got.err != nil && h.body.closeUnread():
-		return nil, &unsentError{cause: errPeerBroke}
-	case got.err != nil:
+	if got.err != nil {
 		return nil, &brokenError{cause: errPeerBroke}
 	}
 	told := outcome(got.response.Header.Get(headerOutcome))
--- a/forward/pending_body.go
+++ b/forward/pending_body.go
@@ -9,11 +9,9 @@
 // pendingBody is a request body whose content becomes known after the exchange has begun. It is safe for
 // concurrent use.
 type pendingBody struct {
-	mu      sync.Mutex
-	content *bytes.Reader
-	closed  bool
-	// begun is set once any of the content has been read.
-	begun    bool
+	mu       sync.Mutex
+	content  *bytes.Reader
+	closed   bool
 	supplied chan struct{}
 }
 
@@ -40,18 +38,9 @@
 	if b.closed || b.content == nil {
 		return 0, io.ErrClosedPipe
 	}
-	b.begun = true
 	return b.content.Read(buffer)
 }
 
-// closeUnread ends the body, and reports whether none of the content has been or will be read.
-func (b *pendingBody) closeUnread() bool {
-	b.close()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !b.begun
-}
-
 // close ends the body: reads fail from now on.
 func (b *pendingBody) close() {
 	b.mu.Lock()
