forward: callers that leave have no other instance asked for their target

A caller that left while a connection to its target was opened had other instances asked whether they reach the target, once a target and 250 ms: where many callers give up at once, each instance asks up to twelve others for each target. Seen while reading.

Change: nothing is asked then. TestCallersThatLeaveAskNobody failed before (asked once).

--- a/forward/client.go
+++ b/forward/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -115,6 +116,10 @@
 	if err == nil {
 		return direct, nil
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// The caller has gone, which says nothing of the target.
+		return nil, err
+	}
 	if ctx.Err() == nil {
 		handed, handErr := c.handOver(ctx, request, quickHandover)
 		if handErr == nil {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -518,3 +518,23 @@
 		}
 	}
 }
+
+// Callers that leave while a connection is opened say nothing of the target: other instances aren't asked for it.
+func TestCallersThatLeaveAskNobody(t *testing.T) {
+	p := newPair(t, func(http.ResponseWriter, *http.Request) {})
+	var asked atomic.Int64
+	p.serveWith(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
+	p.client.Direct.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if _, err := p.send(ctx, nil); !errors.Is(err, shelfshelf.ErrNotRun) {
+		t.Error(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if asked.Load() != 0 {
+		t.Errorf("asked %d times", asked.Load())
+	}
+}
