forward: one instance alone doesn't make a target count as gone

An instance that has lost its own link to just one target, and reaches others, says that it doesn't reach that one. Where it was asked first and the time was over, a cut-off instance took the target for gone, and handed nothing over for it for 5 s. Seen while reading; for cuts of different targets at different instances.

Change: two instances have to say so, or all that there are. TestOneInstanceAloneDoesNotCondemnATarget failed before (the next request: connection refused).

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -538,3 +538,28 @@
 		t.Errorf("asked %d times", asked.Load())
 	}
 }
+
+// One instance that doesn't reach a target may have lost its own link to just that one; a target counts as gone, and
+// isn't handed over for seconds, only if a second one doesn't reach it either.
+func TestOneInstanceAloneDoesNotCondemnATarget(t *testing.T) {
+	p := newPair(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	partly := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Shelf-Outcome", "unreachable")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(partly.Close)
+	good := p.peer.Listener.Addr().String()
+	first := atomic.Bool{}
+	first.Store(true)
+	p.client.Peers = func() []forward.Peer {
+		if first.Swap(false) {
+			// The one that is asked first; the time is over before the other one is.
+			return []forward.Peer{{Address: partly.Listener.Addr().String(), Local: true}, {Address: "127.0.0.1:1"}}
+		}
+		return []forward.Peer{{Address: good}}
+	}
+	_, _ = p.send(context.Background(), nil)
+	if got, err := p.send(context.Background(), nil); got != "whole" || err != nil {
+		t.Errorf("%q %v", got, err)
+	}
+}
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -16,13 +16,14 @@
 )
 
 // handOver asks other instances to connect to a target, one after the other, until one has. The error is
-// ErrNotRun, joined with ErrOwnLink unless other instances don't reach the target either.
+// ErrNotRun, joined with ErrOwnLink unless an instance whose links work doesn't reach the target either.
 func (c *Client) handOver(ctx context.Context, request upstream.Request, within time.Duration) (connection, error) {
 	target := request.Target
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	var unreached []string
-	for _, address := range c.peers.choose(c.Peers()) {
+	candidates := c.peers.choose(c.Peers())
+	for _, address := range candidates {
 		h, answer := c.ask(ctx, address, request)
 		if answer == outcomeReached {
 			c.recordReached(target, address, unreached)
@@ -35,11 +36,13 @@
 			break
 		}
 	}
-	if len(unreached) > 0 {
+	if len(unreached) == 0 {
+		return nil, &unsentError{cause: shelfshelf.ErrOwnLink}
+	}
+	if len(unreached) >= min(enoughUnreached, len(candidates)) {
 		c.links.unreachedBy(target, len(unreached))
-		return nil, &unsentError{cause: fmt.Errorf("%d other instances don't reach the target either", len(unreached))}
 	}
-	return nil, &unsentError{cause: shelfshelf.ErrOwnLink}
+	return nil, &unsentError{cause: fmt.Errorf("%d other instances don't reach the target either", len(unreached))}
 }
 
 // recordReached notes that an instance reaches a target, so that those that don't have lost their links.
