crashes: the latest survivals of parts are remembered where there are too many

An instance that gets most new connections of a region may see more parts in a minute than it remembers (8,192); all were dropped at once then, so that ends of many targets right after it blamed parts of sound requests. Seen while reading.

Change: the older ones are dropped, until half fit. TestLatestSurvivalsAreRemembered failed before.

--- a/crashes/parts.go
+++ b/crashes/parts.go
@@ -48,19 +48,29 @@
 	return known && at.Sub(survived) < survivalRetention
 }
 
-// forgetSurvivals drops what is too old, or all if there is still too much. The caller must hold t.mu.
+// forgetSurvivals drops what is too old, or the older part if there is too much. The caller must hold t.mu.
 func (t *Tracker) forgetSurvivals(now time.Time) {
+	retention := survivalRetention
+	kept := t.survivalsSince(now.Add(-retention))
+	for len(kept) > maxSurvivals/2 {
+		retention /= 2
+		kept = t.survivalsSince(now.Add(-retention))
+	}
+	if retention < survivalRetention {
+		t.Log.Warn("Too many parts of prompts to remember which runs survived for long.", "parts", len(kept), "for", retention)
+	}
+	t.survivedAt = kept
+}
+
+// survivalsSince returns the parts that have survived since an instant. The caller must hold t.mu.
+func (t *Tracker) survivalsSince(since time.Time) map[shelfshelf.Fingerprint]time.Time {
 	kept := make(map[shelfshelf.Fingerprint]time.Time)
 	for part, at := range t.survivedAt {
-		if now.Sub(at) < survivalRetention {
+		if at.After(since) {
 			kept[part] = at
 		}
 	}
-	if len(kept) >= maxSurvivals {
-		t.Log.Warn("Too many parts of prompts to remember which runs survived.", "parts", len(kept))
-		kept = make(map[shelfshelf.Fingerprint]time.Time)
-	}
-	t.survivedAt = kept
+	return kept
 }
 
 // noteBlamed notes since when a request or part is to be quarantined. The caller must hold t.mu.
--- a/crashes/parts_test.go
+++ b/crashes/parts_test.go
@@ -99,3 +99,24 @@
 		t.Error("a part is quarantined with which a run survived")
 	}
 }
+
+// An instance that gets most requests of a region sees more parts than it can remember. What it saw last stays
+// remembered: where all was dropped at once, a crash of all targets right after that blamed the part of a route.
+func TestLatestSurvivalsAreRemembered(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	r := newTracker(clock, "a")
+	for i := range 8_195 {
+		own := shelfshelf.FingerprintOfPart(fmt.Sprint("own", i))
+		r.PartsSurvived([]shelfshelf.Fingerprint{routePart, own})
+		clock.Advance(time.Millisecond)
+	}
+	latest := shelfshelf.FingerprintOfPart("own8190")
+	for i := range 18 {
+		crashWhileRunning(r, clock, fmt.Sprint("t", i), shelfshelf.Fingerprint(100+i), routePart, latest)
+	}
+	clock.Advance(time.Second)
+	if quarantined(r, routePart) || quarantined(r, latest) {
+		t.Error("a part is quarantined with which a run survived a second ago")
+	}
+}
