--- a/forward/client.go
+++ b/forward/client.go
@@ -42,9 +42,9 @@
 	Direct *upstream.Client
 	// Peers returns the other instances that are live.
 	Peers func() []Peer
-	// Controls returns the addresses of some other listed targets, to find out whether the links of this
-	// instance work at all.
-	Controls func(excluded shelfshelf.TargetName) []string
+	// Controls returns some other targets of a target's pool, or of other pools if it has none, to find out
+	// whether the links of this instance work.
+	Controls func(target shelfshelf.Target) []shelfshelf.Target
 	// Dial opens connections to other instances. If nil, the operating system's dialer is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnHandover, if set, is called with the outcome of each attempt to hand a request over.
--- a/forward/control.go
+++ b/forward/control.go
@@ -34,7 +34,7 @@
 		case <-failed:
 		case <-c.Clock.After(controlDelay):
 		}
-		works <- c.ownLinksWork(check, target.Name)
+		works <- c.ownLinksWork(check, target)
 	}()
 	reserved, err := c.Direct.Reserve(ctx, target.Address, fresh)
 	if err == nil {
@@ -43,7 +43,7 @@
 	close(failed)
 	select {
 	case linksWork := <-works:
-		return nil, c.unreached(err, linksWork)
+		return nil, c.unreached(target, err, linksWork)
 	case <-ctx.Done():
 		// The one that asked has gone, which says nothing of the target or the links.
 		return nil, outcomeUnsent
@@ -51,10 +51,10 @@
 }
 
 // unreached says why a target was not reached.
-func (c *Client) unreached(err error, linksWork bool) outcome {
+func (c *Client) unreached(target shelfshelf.Target, err error, linksWork bool) outcome {
 	switch {
 	case !linksWork:
-		c.links.foundCut()
+		c.links.foundCut(target.Pool)
 		return outcomeCut
 	case isRefused(err):
 		return outcomeRefused
@@ -62,13 +62,19 @@
 	return outcomeUnreachable
 }
 
-// reachesOther reports whether this instance reaches a target other than one. It tries several at once, as one
-// may have ended too.
-func (c *Client) reachesOther(ctx context.Context, excluded shelfshelf.TargetName) bool {
-	controls := c.Controls(excluded)
+// ownLinksWork reports whether this instance reaches another target of a target's pool, or there is none. A whole
+// pool may be cut off while others are reached.
+func (c *Client) ownLinksWork(ctx context.Context, target shelfshelf.Target) bool {
+	controls := c.Controls(target)
+	return len(controls) == 0 || c.reachesAny(ctx, controls)
+}
+
+// reachesAny reports whether this instance reaches one of some targets. It tries them at once, as some may have ended.
+func (c *Client) reachesAny(ctx context.Context, controls []shelfshelf.Target) bool {
 	results := make(chan error, len(controls))
-	for _, address := range controls {
-		go func() { results <- c.Direct.Preconnect(ctx, address) }()
+	for _, control := range controls {
+		c.links.use(control)
+		go func() { results <- c.Direct.Preconnect(ctx, control.Address) }()
 	}
 	for range controls {
 		if err := <-results; err == nil {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -89,8 +89,8 @@
 }
 
 // controls are a target that has ended, and one that has not.
-func (p *pair) controls(shelfshelf.TargetName) []string {
-	return []string{p.ended, p.target.Listener.Addr().String()}
+func (p *pair) controls(shelfshelf.Target) []shelfshelf.Target {
+	return []shelfshelf.Target{{Name: "gone", Pool: "p", Address: p.ended}, {Name: "t", Pool: "p", Address: p.target.Listener.Addr().String()}}
 }
 
 func (p *pair) lookup(name shelfshelf.TargetName) (shelfshelf.Target, bool) {
--- a/forward/links.go
+++ b/forward/links.go
@@ -62,6 +62,8 @@
 	// one was last opened.
 	downAt   time.Time
 	dialedAt time.Time
+	// cutAt is when this instance was found to reach neither of two of its targets; zero after any connection.
+	cutAt time.Time
 }
 
 // links tells a target that is gone from a link of this instance that fails. It is safe for concurrent use.
@@ -69,9 +71,7 @@
 	clock shelfshelf.Clock
 	log   *log.Logger
 
-	mu sync.Mutex
-	// cutAt is when this instance was found to reach neither of two targets; zero after any connection.
-	cutAt     time.Time
+	mu        sync.Mutex
 	byAddress map[string]*link
 	pools     map[shelfshelf.PoolName]*poolLinks
 }
@@ -113,7 +113,7 @@
 	switch {
 	case !k.downAt.IsZero() && !pool.dialedAt.After(k.downAt):
 		return linkDown
-	case !k.downAt.IsZero() || pool.downAt.After(pool.dialedAt) || !l.cutAt.IsZero():
+	case !k.downAt.IsZero() || pool.downAt.After(pool.dialedAt) || !pool.cutAt.IsZero():
 		return linkDoubtful
 	case l.clock.Now().Before(k.deadUntil):
 		return linkDead
@@ -136,10 +136,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	if err == nil && !l.cutAt.IsZero() {
-		l.log.Info("This instance reaches targets again.", "address", address, "after", now.Sub(l.cutAt))
-		l.cutAt = time.Time{}
-	}
 	k := l.byAddress[address]
 	if k == nil {
 		return
@@ -154,24 +150,50 @@
 		l.log.Info("The link to a target is back.", "target", k.target.Name, "address", address, "after", now.Sub(k.downAt))
 	}
 	k.failedAt, k.downAt, k.deadUntil = time.Time{}, time.Time{}, time.Time{}
-	l.poolOf(k).dialedAt = now
+	pool := l.poolOf(k)
+	pool.dialedAt = now
+	l.endCutLocked(k.target.Pool, pool)
+}
+
+// endCut notes that this instance reaches targets of a pool again, or that there are none.
+func (l *links) endCut(name shelfshelf.PoolName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if pool := l.pools[name]; pool != nil {
+		l.endCutLocked(name, pool)
+	}
+}
+
+// endCutLocked implements endCut. The caller must hold l.mu.
+func (l *links) endCutLocked(name shelfshelf.PoolName, pool *poolLinks) {
+	if !pool.cutAt.IsZero() {
+		l.log.Info("This instance reaches targets again.", "pool", name, "after", l.clock.Now().Sub(pool.cutAt))
+		pool.cutAt = time.Time{}
+	}
 }
 
-// foundCut notes that this instance reaches neither of two targets.
-func (l *links) foundCut() {
+// foundCut notes that this instance reaches neither of two targets of a pool.
+func (l *links) foundCut(name shelfshelf.PoolName) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cutAt.IsZero() {
-		l.cutAt = l.clock.Now()
-		l.log.Warn("This instance reaches neither of two targets.")
+	pool := l.poolOf(&link{target: shelfshelf.Target{Pool: name}})
+	if pool.cutAt.IsZero() {
+		pool.cutAt = l.clock.Now()
+		l.log.Warn("This instance reaches neither of two targets.", "pool", name)
 	}
 }
 
-// isCut reports whether this instance is thought to be cut off from targets.
-func (l *links) isCut() bool {
+// cutPools returns the pools that this instance is thought to be cut off from.
+func (l *links) cutPools() []shelfshelf.PoolName {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.cutAt.IsZero()
+	var cut []shelfshelf.PoolName
+	for name, pool := range l.pools {
+		if !pool.cutAt.IsZero() {
+			cut = append(cut, name)
+		}
+	}
+	return cut
 }
 
 // beginConfirm reports whether other instances are to be asked for a target that was not reached; they are
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -33,13 +33,20 @@
 		for _, target := range c.links.down(probesAtOnce) {
 			probes.Go(func() { c.probe(ctx, target) })
 		}
-		if c.links.isCut() {
-			probes.Go(func() { c.reachesOther(ctx, "") })
+		for _, pool := range c.links.cutPools() {
+			probes.Go(func() { c.probePool(ctx, pool) })
 		}
 		probes.Wait()
 	}
 }
 
+// probePool finds out whether this instance reaches targets of a pool again. A pool may have none any more.
+func (c *Client) probePool(ctx context.Context, pool shelfshelf.PoolName) {
+	if c.ownLinksWork(ctx, shelfshelf.Target{Pool: pool}) {
+		c.links.endCut(pool)
+	}
+}
+
 // probe tries the link to a target. The connection is kept for the next request.
 func (c *Client) probe(ctx context.Context, target shelfshelf.Target) {
 	if err := c.Direct.Preconnect(ctx, target.Address); err != nil {
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/fake"
 	"github.com/shelfshelf/shelfshelf/node"
 )
@@ -31,12 +32,12 @@
 	// cut are the instances, and how many of the targets they lose.
 	cut func(i int) bool
 	how fake.LinkFault
-	// services leaves the links to engines as they are.
-	services bool
+	// only is the first letter of the targets that are cut off, those of one pool; empty means all.
+	only string
 }
 
 func (c cutCase) String() string {
-	return fmt.Sprintf("%d instances, %+v, services only: %t", c.count, c.how, c.services)
+	return fmt.Sprintf("%d instances, %+v, only %q", c.count, c.how, c.only)
 }
 
 // cutOff is instances before targets of which some are cut off from the targets.
@@ -73,7 +74,9 @@
 		"some reset":                  {count: 7, cut: someCut, how: reset},
 		"some refused":                {count: 7, cut: someCut, how: refused},
 		"some kept":                   {count: 7, cut: someCut, how: kept},
-		"some from services":          {count: 7, cut: someCut, how: silent, services: true},
+		"some from services":          {count: 7, cut: someCut, how: silent, only: "p"},
+		"some from engines":           {count: 7, cut: someCut, how: refused, only: "e"},
+		"all but one from engines":    {count: 7, cut: allButOne, how: refused, only: "e"},
 		"data centre of one":          {count: 7, cut: centreCut, how: silent},
 		"all but one silent":          {count: 7, cut: allButOne, how: silent},
 		"all but one refused":         {count: 7, cut: allButOne, how: refused},
@@ -98,7 +101,7 @@
 	time.Sleep(500 * time.Millisecond)
 	o := &cutOff{limited: p, cutCase: c, counts: map[bool]*served{true: {}, false: {}}, machines: make(map[string]bool)}
 	for name, address := range p.addresses {
-		if !c.services || strings.HasPrefix(name, "p") {
+		if strings.HasPrefix(name, c.only) {
 			o.machines[strings.TrimSuffix(address, ":80")] = true
 		}
 	}
@@ -197,13 +200,13 @@
 			serving[address] = name != "e1" && name != "p1" && name != "e0"
 		}
 		for range 100 {
-			controls := node.Controls(l.instances[0], "e0")
+			controls := node.Controls(l.instances[0], shelfshelf.Target{Name: "e0", Pool: "limited"})
 			if len(controls) == 0 {
 				t.Error("no target to check links by")
 			}
-			for _, address := range controls {
-				if !serving[address] {
-					t.Fatalf("links are checked by %s", address)
+			for _, control := range controls {
+				if !serving[control.Address] || control.Pool != "limited" {
+					t.Fatalf("links are checked by %+v", control)
 				}
 			}
 		}
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -39,5 +39,5 @@
 	return known && n.places.Owns(key, centre)
 }
 
-// Controls returns the addresses of the targets by which one finds out whether its links work.
-func Controls(n *Node, excluded shelfshelf.TargetName) []string { return n.controlTargets(excluded) }
+// Controls returns the targets by which one finds out whether its links work to a target.
+func Controls(n *Node, target shelfshelf.Target) []shelfshelf.Target { return n.controlTargets(target) }
--- a/node/forward.go
+++ b/node/forward.go
@@ -24,25 +24,32 @@
 // maxControls is how many targets are tried to find out whether the links of this instance work.
 const maxControls = 3
 
-// controlTargets returns the addresses of some targets other than one that was not reached: targets that get
-// requests. The list also has those of services that no configuration uses, and they may be anything.
-func (n *Node) controlTargets(excluded shelfshelf.TargetName) []string {
+// controlTargets returns some targets that get requests, other than one that was not reached: those of its pool, or of
+// other pools if it has none. The list also has targets of services that no configuration uses, and they may be anything.
+func (n *Node) controlTargets(target shelfshelf.Target) []shelfshelf.Target {
 	index, _ := n.catalog.Index()
-	listed := n.catalog.Targets().Targets
 	if index == nil {
 		return nil
 	}
-	var controls []string
+	var same, others []shelfshelf.Target
+	listed := n.catalog.Targets().Targets
 	for _, i := range rand.Perm(len(listed)) {
-		if len(controls) == maxControls {
-			break
+		control, found := n.target(listed[i].Name)
+		switch {
+		case !found || control.Name == target.Name || control.Leaving || !hasPool(index.Bundle.Pools, control.Pool):
+		case control.Pool == target.Pool:
+			same = append(same, control)
+		default:
+			others = append(others, control)
 		}
-		target, found := n.target(listed[i].Name)
-		if found && target.Name != excluded && !target.Leaving && hasPool(index.Bundle.Pools, target.Pool) {
-			controls = append(controls, target.Address)
+		if len(same) == maxControls {
+			break
 		}
 	}
-	return controls
+	if len(same) == 0 {
+		same = others
+	}
+	return same[:min(len(same), maxControls)]
 }
 
 func hasPool(pools []shelfshelf.Pool, name shelfshelf.PoolName) bool {
