gateway: the log tells what a request takes up, and at which version it ran

Cause: no line told whether a request takes a stream up, which of the caller's attempts it names in Resumes, or at which version an attempt ran, so that a stream that mixes versions within one answer could not be told from one that is mixed over its caller's tries. Change: lastEvent, resumes and version in 'A request has ended.', version in 'An attempt has failed.'. Resumes is read, nothing decides by it.

--- a/call.go
+++ b/call.go
@@ -37,6 +37,9 @@
 	// LastEventID is the last event that the caller has received; empty if the stream starts from the
 	// beginning.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this one takes
+	// up; empty if the caller doesn't tell it.
+	Resumes RequestID
 }
 
 // Attempt is one dispatch of a call to one target.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -89,7 +89,7 @@
 	c.server.Metrics.countFailedAttempt()
 	fields := []any{
 		"request", c.call.ID, "fingerprint", c.fingerprint, "parts", c.parts, "target", lease.Target.Name,
-		"address", lease.Target.Address, "after", c.server.Clock.Now().Sub(began), "sent", c.sentAttempts,
+		"version", lease.Target.Version, "address", lease.Target.Address, "after", c.server.Clock.Now().Sub(began), "sent", c.sentAttempts,
 		"mayHaveRun", c.mayHaveRun, "passed", c.eventsSent, "asked", lease.OwnersAsked, "alone", lease.WithoutOwner, "error", cause,
 	}
 	var status *statusError
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -80,6 +80,7 @@
 	mayHaveRun     bool
 	avoidTargets   []shelfshelf.TargetName
 	target         shelfshelf.TargetName
+	targetVersion  shelfshelf.TargetVersion
 	queueTime      time.Duration
 	expectedTime   time.Duration
 	targetInFlight int
@@ -180,9 +181,12 @@
 		fields = append(fields, "countedAfter", c.chargedAt.Sub(c.arrived))
 	}
 	if c.target != "" {
-		fields = append(fields, "target", c.target, "sent", c.sentAttempts, "turnedAway", c.rejections, "waited", c.queueTime,
+		fields = append(fields, "target", c.target, "version", c.targetVersion, "sent", c.sentAttempts, "turnedAway", c.rejections, "waited", c.queueTime,
 			"expected", c.expectedTime, "inFlight", c.targetInFlight, "cached", c.cachedTokens, "asked", c.slotRequests, "alone", c.chosenLocally)
 	}
+	if c.call.LastEventID != "" {
+		fields = append(fields, "lastEvent", c.call.LastEventID, "resumes", c.call.Resumes)
+	}
 	if c.via != "" {
 		fields = append(fields, "via", c.via)
 	}
@@ -261,6 +265,7 @@
 	c.queueTime += c.server.Clock.Now().Sub(began)
 	if err == nil {
 		c.target = lease.Target.Name
+		c.targetVersion = lease.Target.Version
 		c.expectedTime = lease.Expected
 		c.targetInFlight = lease.InFlight
 		c.cachedTokens = lease.CachedTokens
