node: tests that streams go on at the version that began them, failing

What callers saw: streams held events of two software versions of one service. The stand-in's events tell its version, its callers take streams up.

--- a/fake/server.go
+++ b/fake/server.go
@@ -112,6 +112,8 @@
 	ID string
 	// Events is how many events a stream has; 0 makes it a plain service.
 	Events int
+	// Version is the version of its software, told in each event; empty if it tells none.
+	Version string
 	// Die ends the process, with all that it runs; needed where a body is deadly.
 	Die func()
 
@@ -290,7 +292,7 @@
 			s.end(run, "left")
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", event, run.ID, event)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d%s\n\n", event, run.ID, event, s.mark())
 		_ = control.Flush()
 		if cut && event-first+1 == faults.CutAfter {
 			// Part of the next event shows that only whole ones may be passed on.
@@ -303,6 +305,14 @@
 	s.end(run, "whole")
 }
 
+// mark is what the events of a server tell of its version.
+func (s *Server) mark() string {
+	if s.Version == "" {
+		return ""
+	}
+	return " " + s.Version
+}
+
 // pause waits and reports whether the caller is still there.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
--- /dev/null
+++ b/node/versions_test.go
@@ -0,0 +1,418 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shelfshelf/shelfshelf/fake"
+)
+
+const (
+	// streamEvents is how many events a whole stream has, and brokenAfter how many a caller has had when it
+	// breaks off.
+	streamEvents = 24
+	brokenAfter  = 5
+	// streamTime is how long a caller waits for a stream over all its tries.
+	streamTime = 12 * time.Second
+	// mostMixed is how many streams may hold events of two versions, in a whole play.
+	mostMixed = 2
+	// leastGoneOn is the share of streams that have to go on where the version is known and served, as a part
+	// of the share of new streams that begin.
+	leastGoneOn = 0.9
+)
+
+// versioned is instances before targets of several versions of one pool, whose callers take streams up.
+type versioned struct {
+	*limited
+	clients []*http.Client
+	// silent callers don't tell which of their attempts brought the first event.
+	silent bool
+	// gone are the instances that callers don't come to.
+	gone map[int]bool
+
+	count int
+}
+
+// taken is a stream over all tries of its caller.
+type taken struct {
+	// first is the attempt that brought the first event, and at where that was.
+	first string
+	at    int
+	last  int
+	began time.Time
+	// versions are those of its events.
+	versions map[string]bool
+	whole    bool
+	// statuses are how its attempts ended.
+	statuses []int
+}
+
+func (s *taken) mixed() bool { return len(s.versions) > 1 }
+
+// newVersioned lists four targets of each version.
+func newVersioned(l *large, versions ...string) *versioned {
+	p := &versioned{limited: newLimited(l, 0), gone: make(map[int]bool)}
+	p.release(versions...)
+	time.Sleep(2 * time.Second)
+	return p
+}
+
+// release lists four targets of each version, beside those that are there.
+func (p *versioned) release(versions ...string) {
+	for _, version := range versions {
+		for range 4 {
+			p.serveVersion(version)
+		}
+	}
+}
+
+func (p *versioned) serveVersion(version string) {
+	name := fmt.Sprintf("%s-%d", version, len(p.targets))
+	ip := fmt.Sprintf("10.200.%d.1", len(p.targets)+1)
+	server := &fake.Server{ID: name, Events: streamEvents, Version: version}
+	server.SetFaults(fake.ServerFaults{Slow: 10 * time.Millisecond})
+	process := &http.Server{Handler: server}
+	p.ends[name] = func() { _ = process.Close() }
+	p.closers = append(p.closers, p.ends[name])
+	listener := p.network.Listen(ip, "80")
+	p.ended.Go(func() { _ = process.Serve(listener) })
+	p.targets[name], p.addresses[name], p.centres[name] = server, ip+":80", centreOf(len(p.targets))
+	p.listVersion(name, "ready")
+}
+
+func (p *versioned) listVersion(name, state string) {
+	p.put("servers", name, object{
+		"Service": "limited", "Address": p.addresses[name], "Zone": p.centres[name], "Slots": 8, "State": state, "Version": p.targets[name].Version,
+	})
+}
+
+// each calls a function for all targets of a version.
+func (p *versioned) each(version string, do func(name string)) {
+	for name, target := range p.targets {
+		if target.Version == version {
+			do(name)
+		}
+	}
+}
+
+// drain has all targets of a version say that they leave.
+func (p *versioned) drain(version string) {
+	p.each(version, func(name string) { p.listVersion(name, "draining") })
+}
+
+// remove ends all targets of a version and takes them off the list.
+func (p *versioned) remove(version string) {
+	p.each(version, func(name string) {
+		p.platform.Drop("servers", name)
+		p.ends[name]()
+	})
+}
+
+// kill ends an instance without a word.
+func (p *versioned) kill(i int) {
+	p.gone[i] = true
+	p.cutOff(i)
+	p.stops[i]()
+}
+
+// restartKilled kills an instance and starts it anew at once.
+func (p *versioned) restartKilled(i int) {
+	p.kill(i)
+	p.network.Join(machineOf(i))
+	p.start(i, false)
+	time.Sleep(300 * time.Millisecond)
+	p.mu.Lock()
+	delete(p.away, i)
+	p.mu.Unlock()
+	delete(p.gone, i)
+}
+
+// stop ends an instance as planned work does.
+func (p *versioned) stop(i int) {
+	p.gone[i] = true
+	p.stops[i]()
+}
+
+// pick returns an instance that callers come to, other than one.
+func (p *versioned) pick(not int) int {
+	for {
+		if i := rand.IntN(len(p.instances)); i != not && !p.gone[i] {
+			return i
+		}
+	}
+}
+
+// client returns callers' connections to an instance.
+func (p *versioned) client() *http.Client {
+	client := &http.Client{Transport: &http.Transport{DialContext: p.network.Machine(limitCallers).Dial, DisableKeepAlives: true}}
+	return client
+}
+
+// attempt sends one try of a stream to an instance and reads so many of its events; 0 means all. It returns
+// the status, 0 if the answer or the connection broke, and for how long a refused caller is to wait.
+func (p *versioned) attempt(s *taken, at, events int) (status int, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(p.ctx, streamTime-p.clock.Now().Sub(s.began))
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:80/e/x", machineOf(at)), strings.NewReader("body"))
+	if err != nil {
+		p.t.Error(err)
+		return 0, 0
+	}
+	id := p.nextID()
+	request.Host = "h.example"
+	request.Header.Set("X-Shelfshelf-Request-Id", id)
+	request.Header.Set("X-Shelfshelf-Request-Deadline", fmt.Sprint((streamTime - p.clock.Now().Sub(s.began)).Milliseconds()))
+	request.Header.Set("Authorization", "Bearer k1")
+	if s.last > 0 {
+		request.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
+		if !p.silent {
+			request.Header.Set("Resumes", s.first)
+		}
+	}
+	response, err := p.client().Do(request)
+	if err != nil {
+		return 0, 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		return response.StatusCode, time.Duration(seconds * float64(time.Second))
+	}
+	if p.read(s, bufio.NewScanner(response.Body), id, at, events) {
+		return http.StatusOK, 0
+	}
+	return 0, 0
+}
+
+func (p *versioned) nextID() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.count++
+	return fmt.Sprint("s", p.count)
+}
+
+// read reads events of an answer, and reports whether all that were wanted came.
+func (p *versioned) read(s *taken, lines *bufio.Scanner, id string, at, events int) bool {
+	got := 0
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		event, version, _ := strings.Cut(data, " ")
+		number, err := strconv.Atoi(event[strings.LastIndex(event, "-")+1:])
+		if err != nil || number != s.last+1 {
+			p.t.Errorf("event %q after event %d", data, s.last)
+		}
+		if s.first == "" {
+			s.first, s.at = id, at
+		}
+		s.last, s.versions[version] = number, true
+		if got++; got == events {
+			return true
+		}
+	}
+	s.whole = s.whole || lines.Err() == nil && s.last == streamEvents
+	return s.whole
+}
+
+// try sends a stream's next try, and once more where it is told to wait or doesn't get through.
+func (p *versioned) try(s *taken, at, events int) int {
+	status, wait := p.attempt(s, at, events)
+	s.statuses = append(s.statuses, status)
+	if status != http.StatusServiceUnavailable && status != 0 {
+		return status
+	}
+	time.Sleep(wait)
+	status, _ = p.attempt(s, p.pick(at), events)
+	s.statuses = append(s.statuses, status)
+	return status
+}
+
+// all does something for so many streams at once, each a little later than the one before.
+func all(streams []*taken, do func(s *taken)) {
+	var callers sync.WaitGroup
+	for _, s := range streams {
+		callers.Go(func() { do(s) })
+		time.Sleep(15 * time.Millisecond)
+	}
+	callers.Wait()
+}
+
+// begin begins so many streams, each read for some events; those that don't begin are left out.
+func (p *versioned) begin(count, events int, at func() int) []*taken {
+	streams := make([]*taken, count)
+	for i := range streams {
+		streams[i] = &taken{began: p.clock.Now(), versions: make(map[string]bool)}
+	}
+	all(streams, func(s *taken) {
+		s.began = p.clock.Now()
+		p.try(s, at(), events)
+	})
+	var begun []*taken
+	for _, s := range streams {
+		if s.last > 0 {
+			begun = append(begun, s)
+		}
+	}
+	if len(begun) < count*9/10 {
+		p.t.Errorf("%d of %d new streams began", len(begun), count)
+	}
+	return begun
+}
+
+// takeUp has all streams taken up at another instance, and returns how many went on.
+func (p *versioned) takeUp(streams []*taken, events int) int {
+	var mu sync.Mutex
+	goneOn := 0
+	all(streams, func(s *taken) {
+		before := s.last
+		p.try(s, p.pick(s.at), events)
+		mu.Lock()
+		defer mu.Unlock()
+		if s.last > before {
+			goneOn++
+		}
+	})
+	return goneOn
+}
+
+// checkMixed checks that no stream holds events of two versions but for those that the rule allows.
+func (p *versioned) checkMixed(streams []*taken) {
+	p.t.Helper()
+	mixed := 0
+	for _, s := range streams {
+		if s.mixed() {
+			mixed++
+		}
+	}
+	p.t.Logf("%d of %d streams hold events of two versions", mixed, len(streams))
+	if mixed > mostMixed {
+		p.t.Errorf("%d of %d streams hold events of two versions", mixed, len(streams))
+	}
+}
+
+// checkGoneOn checks how many of some streams that were taken up went on.
+func (p *versioned) checkGoneOn(goneOn, of int, least float64) {
+	p.t.Helper()
+	p.t.Logf("%d of %d streams went on", goneOn, of)
+	if float64(goneOn) < least*float64(of) {
+		p.t.Errorf("%d of %d streams that were taken up went on", goneOn, of)
+	}
+}
+
+// Targets break streams off, and the instance goes on at another target within the same answer: 8 of 40
+// streams held events of two versions.
+func TestStreamsGoOnAtTheirVersionWithinOneAnswer(t *testing.T) {
+	playLarge(t, 7, false, func(l *large) {
+		p := newVersioned(l, "v1", "v2")
+		for _, target := range p.targets {
+			target.SetFaults(fake.ServerFaults{Slow: 10 * time.Millisecond, CutAfter: brokenAfter, CutTimes: 6})
+		}
+		streams := p.begin(40, 0, func() int { return p.pick(-1) })
+		whole := 0
+		for _, s := range streams {
+			if s.whole {
+				whole++
+			}
+		}
+		p.checkMixed(streams)
+		p.checkGoneOn(whole, len(streams), 0.5)
+	})
+}
+
+// takeUpCase is what happens between the beginning of streams and their callers' taking them up.
+type takeUpCase struct {
+	instances int
+	// versions are listed at the beginning; none means v1 and v2.
+	versions []string
+	// begin is the instance that all streams begin at; 0 means any.
+	begin int
+	// between happens before the streams are taken up.
+	between func(p *versioned)
+	// again is how often more the streams are taken up, and broken off, before they are read to their ends.
+	again int
+	// silent callers don't tell which attempt brought the first event.
+	silent bool
+	// least is the share of the streams that has to go on; none means leastGoneOn.
+	least float64
+}
+
+// nothing happens in between.
+func nothing(*versioned) {}
+
+// takeUpCases are the cases by name.
+var takeUpCases = map[string]takeUpCase{
+	"at another instance": {instances: 7, between: nothing},
+	"after 5 s":           {instances: 7, between: func(*versioned) { time.Sleep(5 * time.Second) }},
+	"three times":         {instances: 7, between: nothing, again: 2},
+	"at an instance that joined since": {instances: 7, between: func(p *versioned) {
+		p.announced(7)
+		p.start(7, false)
+		time.Sleep(time.Second)
+		for i := range 7 {
+			p.gone[i] = true
+		}
+	}},
+	"the instance of the beginning stopped": {instances: 7, begin: 3, between: func(p *versioned) { p.stop(3) }},
+	"the instance of the beginning killed":  {instances: 7, begin: 3, between: func(p *versioned) { p.kill(3) }},
+	"the instance of the beginning cut off": {instances: 7, begin: 3, between: func(p *versioned) {
+		p.gone[3] = true
+		p.cutOff(3)
+	}},
+	"a version gone from the list": {instances: 7, between: func(p *versioned) {
+		p.remove("v1")
+		time.Sleep(time.Second)
+	}, least: 0.25},
+	"a version drains": {instances: 7, between: func(p *versioned) {
+		p.drain("v1")
+		time.Sleep(300 * time.Millisecond)
+	}},
+	"a version listed since": {instances: 7, versions: []string{"v1"}, between: func(p *versioned) {
+		p.release("v2")
+		time.Sleep(time.Second)
+	}},
+	"85 instances, the one of the beginning killed": {instances: 85, begin: 3, between: func(p *versioned) { p.kill(3) }},
+	"300 instances": {instances: 300, between: nothing},
+}
+
+// Callers break streams off and take them up at other instances: 11 of 30 streams held events of two versions,
+// after three take-ups 20.
+func TestStreamsTakenUpGoOnAtTheirVersion(t *testing.T) {
+	for name, c := range takeUpCases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playLarge(t, c.instances, false, func(l *large) { playTakeUps(l, c) })
+		})
+	}
+}
+
+func playTakeUps(l *large, c takeUpCase) {
+	if c.versions == nil {
+		c.versions = []string{"v1", "v2"}
+	}
+	if c.least == 0 {
+		c.least = leastGoneOn
+	}
+	p := newVersioned(l, c.versions...)
+	p.silent = c.silent
+	at := func() int { return p.pick(-1) }
+	if c.begin > 0 {
+		at = func() int { return c.begin }
+	}
+	streams := p.begin(30, brokenAfter, at)
+	c.between(p)
+	for range c.again {
+		p.checkGoneOn(p.takeUp(streams, brokenAfter), len(streams), c.least)
+	}
+	p.checkGoneOn(p.takeUp(streams, 0), len(streams), c.least)
+	p.checkMixed(streams)
+}
