gateway, balance: a stream that breaks off goes on at its version within one answer

What callers saw: answers whose events came from two software versions of one service (ORDER). Cause: after a break the gateway asks the balancer for any target of the pool but those that failed; Need said nothing of a version, and in a roll-out chooseVersion drew one anew for each attempt. Change: from its first event on a request is bound to the version of that event's target (Need.StreamVersion), by eligible, which all places that choose go through: owners' queues and grants, owner-only and cold targets, local grants, waiting requests. A handover names its target, so its version stays too. Shares of a roll-out don't hold for a stream that goes on, what gets no requests at all (barred, rolled back, halted, retired) gets none of it either, and it is neither counted as a trial nor as evidence. One that waits first in line for its version no longer holds up the requests behind it.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -50,6 +50,9 @@
 	AllowedRegions *shelfshelf.RegionSet
 	// Route is the route on which the request arrived.
 	Route shelfshelf.RouteName
+	// StreamVersion is the version that began the stream with which the request goes on: only its targets may
+	// serve it. It is nil for a request that begins anew.
+	StreamVersion *shelfshelf.TargetVersion
 
 	// choice restricts the target versions that may serve the request; nil allows any. It is a
 	// pointer because a Need is copied for each target considered, and most pools have no rollout.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -97,7 +97,7 @@
 // eligible reports whether a target may serve this request, now or later.
 func (t *targetState) eligible(need Need) bool {
 	allowedRegion := need.AllowedRegions == nil || need.AllowedRegions.Allows(t.region)
-	return allowedRegion && !t.evacuated && !t.target.Leaving && !slices.Contains(need.ExcludedTargets, t.target.Name) && allowed(need.choice, t)
+	return allowedRegion && !t.evacuated && !t.target.Leaving && !slices.Contains(need.ExcludedTargets, t.target.Name) && allowed(need, t)
 }
 
 // assignable reports whether a target may get this request now without asking its owner. It is
@@ -268,7 +268,8 @@
 	}
 	t.local = t.local.add(load{requests: 1, prefilling: 1, prefillTokens: uncached})
 	t.ownerLoad++
-	if b.Rollouts != nil {
+	if b.Rollouts != nil && need.StreamVersion == nil {
+		// Where a stream goes on isn't drawn, so that it is neither a trial nor evidence.
 		b.Rollouts.RequestStarted(t.target)
 	}
 	for _, part := range need.Prompt {
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -121,16 +121,21 @@
 	return a.Arrived.Compare(b.Arrived)
 }
 
-// dispatch grants slots to queued requests in order. The caller must hold b.mu.
+// dispatch grants slots to queued requests in order. Streams that wait for a slot at their version don't hold
+// up the requests behind them. The caller must hold b.mu.
 func (b *Balancer) dispatch(p *pool, now time.Time) {
-	for len(p.queue) > 0 {
-		w := p.queue[0]
+	for next := 0; next < len(p.queue); {
+		w := p.queue[next]
 		lease := b.tryGrant(p, w.need, now)
-		if lease == nil {
+		switch {
+		case lease != nil:
+			p.queue = slices.Delete(p.queue, next, next+1)
+			w.granted <- lease
+		case w.need.StreamVersion != nil:
+			next++
+		default:
 			return
 		}
-		p.queue = p.queue[1:]
-		w.granted <- lease
 	}
 }
 
--- a/balance/version.go
+++ b/balance/version.go
@@ -17,6 +17,10 @@
 	if b.Rollouts == nil {
 		return nil
 	}
+	if need.StreamVersion != nil {
+		choice := b.Rollouts.ChooseForStream(need.Pool)
+		return &choice
+	}
 	choice := b.Rollouts.Choose(need.Pool, b.listed(need.Pool))
 	if !choice.Active {
 		return nil
@@ -27,9 +31,13 @@
 	return &choice
 }
 
-// allowed reports whether a version choice allows a target.
-func allowed(choice *shelfshelf.VersionChoice, t *targetState) bool {
-	return choice == nil || choice.Allows(t.target)
+// allowed reports whether a request may be served by a target of this version: what two versions write of a
+// stream doesn't fit together.
+func allowed(need Need, t *targetState) bool {
+	if need.StreamVersion != nil && *need.StreamVersion != t.target.Version {
+		return false
+	}
+	return need.choice == nil || need.choice.Allows(t.target)
 }
 
 // listed returns the targets of a pool; callers must not modify them.
@@ -60,7 +68,7 @@
 // b.mu.
 func (b *Balancer) reportToRollouts(l *Lease, result Result, unused bool) {
 	switch {
-	case b.Rollouts == nil:
+	case b.Rollouts == nil || l.need.StreamVersion != nil:
 	case unused || result.Unsent:
 		b.Rollouts.RequestUnsent(l.Target)
 	case result.NotRun || result.AddressReused || result.CallerDisconnected:
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -89,6 +89,8 @@
 	// lastAnswer is the information in the headers of the latest target response.
 	lastAnswer   shelfshelf.ResponseMetadata
 	cachedTokens int
+	// streamVersion is the version that began the stream, from its first event on; nil before that.
+	streamVersion *shelfshelf.TargetVersion
 	// slotRequests is how many owners were sent a slot request for the latest lease. chosenLocally says
 	// that no owner granted it and this instance chose the target by what it knew.
 	slotRequests  int
@@ -154,61 +156,7 @@
 		c.server.Quota.Refund(c.charge)
 	}
 	c.server.Metrics.observe(c)
-	fields := []any{
-		"request", c.call.ID, "status", c.status, "result", c.result, "took", c.server.Clock.Now().Sub(c.arrived),
-	}
-	if c.index != nil {
-		fields = append(fields, "revision", c.index.Revision, "configAge", c.configurationAge)
-	}
-	if c.route != nil {
-		fields = append(fields, "route", c.route.Name)
-		if allowed := c.allowedRegions(); allowed.Restricted {
-			fields = append(fields, "homes", allowed.Regions)
-		}
-	}
-	if c.fingerprint != 0 {
-		fields = append(fields, "fingerprint", c.fingerprint)
-	}
-	if c.customer != nil {
-		fields = append(fields, "customer", c.customer.Name, "tokens", c.tokens, "prompt", c.call.PromptTokens,
-			"outputHint", c.call.OutputHint)
-	}
-	if c.quotaVerdict.Rule == quota.RuleRefused {
-		fields = append(fields, c.quotaFields()...)
-		fields = append(fields, "retryAfter", c.quotaVerdict.Wait)
-	}
-	if !c.chargedAt.IsZero() {
-		fields = append(fields, "countedAfter", c.chargedAt.Sub(c.arrived))
-	}
-	if c.target != "" {
-		fields = append(fields, "target", c.target, "version", c.targetVersion, "sent", c.sentAttempts, "turnedAway", c.rejections, "waited", c.queueTime,
-			"expected", c.expectedTime, "inFlight", c.targetInFlight, "cached", c.cachedTokens, "asked", c.slotRequests, "alone", c.chosenLocally)
-	}
-	if c.call.LastEventID != "" {
-		fields = append(fields, "lastEvent", c.call.LastEventID, "resumes", c.call.Resumes)
-	}
-	if c.via != "" {
-		fields = append(fields, "via", c.via)
-	}
-	if c.lastAnswer.LoadKnown {
-		fields = append(fields, "targetRunning", c.lastAnswer.Running, "targetWaiting", c.lastAnswer.Waiting)
-	}
-	if c.lastAnswer.Slowdown > 0 {
-		fields = append(fields, "targetPace", c.lastAnswer.Slowdown)
-	}
-	if c.lastAnswer.Limit.Set {
-		fields = append(fields, "targetLimit", c.lastAnswer.Limit.PerSecond)
-	}
-	if c.lastAnswer.Leaving {
-		fields = append(fields, "targetLeaves", true)
-	}
-	if !c.firstByte.IsZero() {
-		fields = append(fields, "first", c.firstByte.Sub(c.arrived))
-	}
-	if c.eventsSent > 0 {
-		fields = append(fields, "events", c.eventsSent, "resumed", c.resumptions, "longestPause", c.longestEventGap)
-	}
-	c.server.Log.Info("A request has ended.", fields...)
+	c.server.Log.Info("A request has ended.", c.logFields()...)
 }
 
 // latencyGoal returns the response time within which a response has its full value.
@@ -239,6 +187,7 @@
 		OutputTokens:    output,
 		ExcludedTargets: c.avoidTargets,
 		Route:           c.route.Name,
+		StreamVersion:   c.streamVersion,
 	}
 	if c.customer != nil {
 		need.Rank = c.customer.Rank
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -187,6 +187,7 @@
 		if events == 0 {
 			lease.FirstToken()
 			firstAt = now
+			s.bindVersion(lease.Target.Version)
 		}
 		s.recordProgress(now.Sub(firstAt))
 		if s.eventsSent > 0 {
@@ -210,6 +211,13 @@
 	}
 }
 
+// bindVersion has the stream go on only at the version of its first event.
+func (s *stream) bindVersion(version shelfshelf.TargetVersion) {
+	if s.streamVersion == nil {
+		s.streamVersion = &version
+	}
+}
+
 // writeHeader sends the header of the first response to the caller, once.
 func (s *stream) writeHeader(response *upstream.Response) {
 	if s.headerWritten {
--- a/rollout.go
+++ b/rollout.go
@@ -149,6 +149,9 @@
 	// Choose returns where the next request of a pool may be sent; targets must be all targets of the
 	// pool.
 	Choose(pool PoolName, targets []Target) VersionChoice
+	// ChooseForStream returns what targets of a pool get no requests at all; streams go on at the others
+	// whatever the shares of their versions are.
+	ChooseForStream(pool PoolName) VersionChoice
 	// RequestStarted records that a request was assigned to a target. RequestUnsent records that it was
 	// not sent to the target after all.
 	RequestStarted(target Target)
--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -89,6 +89,27 @@
 	return choice
 }
 
+// ChooseForStream returns which targets a stream of a pool may go on at, if they run the version that began it:
+// all but those that get no requests at all.
+func (t *Tracker) ChooseForStream(pool shelfshelf.PoolName) shelfshelf.VersionChoice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked := t.rollouts[pool]
+	if tracked == nil {
+		return shelfshelf.VersionChoice{}
+	}
+	rollout := tracked.current(t.Clock.Now())
+	choice := shelfshelf.VersionChoice{Active: true, Version: rollout.Version, BarredVersions: rollout.BarredVersions, OnlyRetired: true}
+	switch {
+	case rollout.State == shelfshelf.RolloutCompleted:
+		choice.Retired = tracked.retired
+	case rollout.Halted || rollout.State == shelfshelf.RolloutRolledBack:
+		// All targets of Version are barred.
+		choice.OnlyRetired = false
+	}
+	return choice
+}
+
 // chooseTrial decides whether a request tries the new version. The caller must hold t.mu.
 func (t *Tracker) chooseTrial(tracked *trackedRollout, rollout shelfshelf.Rollout, targets []shelfshelf.Target, choice *shelfshelf.VersionChoice) {
 	share := t.Bounds.shareSince(rollout, tracked.since)
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -254,6 +254,37 @@
 	}
 }
 
+// Streams go on at their version while it is on trial or is being replaced, and nowhere once it gets no
+// requests at all.
+func TestStreamsGoOnDuringRollouts(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		rollout  shelfshelf.Rollout
+		old, new bool
+	}{
+		"trial":       {shelfshelf.Rollout{State: shelfshelf.RolloutServing}, true, true},
+		"moving":      {shelfshelf.Rollout{State: shelfshelf.RolloutMoving}, true, true},
+		"halted":      {shelfshelf.Rollout{State: shelfshelf.RolloutServing, Halted: true}, true, false},
+		"rolled back": {shelfshelf.Rollout{State: shelfshelf.RolloutRolledBack}, true, false},
+		"barred":      {shelfshelf.Rollout{State: shelfshelf.RolloutServing, BarredVersions: []shelfshelf.TargetVersion{"v1"}}, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tracker := newTestTracker(&manualClock{now: time.Unix(1000, 0)})
+			targets := targetsWithVersions(map[shelfshelf.TargetVersion]int{"v1": 1, "v2": 1})
+			tracker.SetTargets(targets, 1)
+			c.rollout.Pool, c.rollout.Revision, c.rollout.Version = "p", 2, "v2"
+			tracker.Merge([]shelfshelf.Rollout{c.rollout}, 2, "store")
+			choice := tracker.ChooseForStream("p")
+			for _, target := range targets {
+				if want := target.Version == "v1" && c.old || target.Version == "v2" && c.new; choice.Allows(target) != want {
+					t.Errorf("%s: %v", target.Name, !want)
+				}
+			}
+		})
+	}
+}
+
 // With 85 or 300 instances that send a few requests each, the total of their trials is what the share
 // allows, even if they all restart halfway.
 func TestSharesOfManyInstancesAddUp(t *testing.T) {
