origin: streams that callers take up go on at the version that began them

Cause: Resumes was read nowhere, and a stream that is taken up was placed like a new one, mostly at an instance that knew nothing of its beginning. Change: package origin. Before the first event of a stream that may be resumed goes to its caller, the instance records at which version that was, under a hash of customer, pool and attempt. While the pool has targets of several versions, or had them within the time that streams last, it tells that to the first by rendezvous hashing of up to three data centres and one of its own; once a second version is listed it tells of the streams that began before. An instance that is asked to go on with a stream asks those, then up to 16 others, 60 ms each at most, and binds the stream (Need.StreamVersion). Without a record it goes on only where the pool has had one version for as long as streams last, as of a list of targets that is no older than 4 s or that others answer for; instances that have not been running for so long read which versions there were from a row in the platform's store, which one instance writes when they change. Else the caller is refused at once with 503, not run, and can begin anew. A record lost costs a stream, never its consistency. Records that contradict each other (a caller used an ID twice) are none. A stream that is known to go on waits like one that goes on within an answer. A split route chooses the service of the stream's first attempt. An older build drops the datagrams with a line.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -62,6 +62,11 @@
 	m.set.GetOrCreateHistogram(`shelf_quota_report_age_seconds`).Update(v.ReportAge.Seconds())
 }
 
+// countTakenUp counts a stream that a caller takes up, by what is known of its beginning.
+func (m *Metrics) countTakenUp(basis string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_streams_taken_up_total{origin=%q}`, basis)).Inc()
+}
+
 func (m *Metrics) countQuarantined() {
 	m.set.GetOrCreateCounter("shelf_requests_held_back_total").Inc()
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -91,6 +91,8 @@
 	cachedTokens int
 	// streamVersion is the version that began the stream, from its first event on; nil before that.
 	streamVersion *shelfshelf.TargetVersion
+	// originRecorded says that a record shows where the stream that the caller takes up began.
+	originRecorded bool
 	// slotRequests is how many owners were sent a slot request for the latest lease. chosenLocally says
 	// that no owner granted it and this instance chose the target by what it knew.
 	slotRequests  int
@@ -197,7 +199,8 @@
 	}
 	now := c.server.Clock.Now()
 	switch {
-	case c.possibleRuns() > 0:
+	case c.possibleRuns() > 0 || c.originRecorded:
+		// A target has worked on it, and only some may go on with it.
 		need.Started = true
 		need.WaitUntil = now.Add(min(c.latencyGoal(), c.timeLeft()/2))
 	case c.unsentAttempts+c.rejections > 0:
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -68,6 +68,8 @@
 	Crashes       *crashes.Tracker
 	CrashDetector *crashes.Detector
 	Metrics       *Metrics
+	// Origins remembers at which versions streams began; nil means that streams go on at any version.
+	Origins shelfshelf.StreamOrigins
 	// MaxBufferedBytes limits the bytes buffered over all requests; 0 means unlimited. Request bodies beyond it
 	// are refused. Plain responses count too, but are never refused.
 	MaxBufferedBytes int64
@@ -252,7 +254,7 @@
 }
 
 // selectPool selects a pool by the weights of a split route. The same request ID always selects the
-// same pool.
+// same pool, and a stream that is taken up that of its first attempt.
 func (c *request) selectPool() shelfshelf.PoolName {
 	total := 0
 	for _, share := range c.route.PoolShares {
@@ -261,7 +263,11 @@
 	if total == 0 {
 		return c.route.Pool
 	}
-	point := int(hashString(string(c.call.ID)) % uint64(total))
+	id := c.call.ID
+	if c.takesUp() && c.call.Resumes != "" {
+		id = c.call.Resumes
+	}
+	point := int(hashString(string(id)) % uint64(total))
 	for _, share := range c.route.PoolShares {
 		point -= max(share.Weight, 0)
 		if point < 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,6 +40,10 @@
 // serveStream serves a request whose response is a stream of events.
 func (c *request) serveStream() {
 	s := &stream{request: c, lastEventID: c.call.LastEventID}
+	if refused := c.findOrigin(); refused != nil {
+		s.finishRefused(refused)
+		return
+	}
 	for {
 		lease, refused := c.acquireLease()
 		if refused != nil {
@@ -189,6 +193,9 @@
 			firstAt = now
 			s.bindVersion(lease.Target.Version)
 		}
+		if s.eventsSent == 0 && len(next.raw) > 0 {
+			s.recordOrigin()
+		}
 		s.recordProgress(now.Sub(firstAt))
 		if s.eventsSent > 0 {
 			s.longestEventGap = max(s.longestEventGap, now.Sub(s.lastEventAt))
--- a/gossip/aggregate.go
+++ b/gossip/aggregate.go
@@ -183,6 +183,15 @@
 	return local, remote
 }
 
+// MembersByDataCentre returns the live instances that aren't leaving, as far as is known, by data centre.
+func (n *Node) MembersByDataCentre() map[shelfshelf.DataCentre][]shelfshelf.Member {
+	members := make(map[shelfshelf.DataCentre][]shelfshelf.Member)
+	for _, centre := range n.knownDataCentres() {
+		members[centre] = n.Members(centre)
+	}
+	return members
+}
+
 // knownDataCentres returns the data centres in which instances are known.
 func (n *Node) knownDataCentres() []shelfshelf.DataCentre {
 	n.mu.Lock()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -79,10 +79,8 @@
 	// FetchInstances asks the instance at an address for all instances that it knows. If it is nil, instances are
 	// learnt from the directory only.
 	FetchInstances func(ctx context.Context, address string) ([]shelfshelf.Instance, error)
-	// HandleDatagram handles datagrams of other protocols on the same socket, recognized by their first byte,
-	// DatagramMarker. If it is nil, there are none.
-	HandleDatagram func(content []byte, from netip.AddrPort)
-	DatagramMarker byte
+	// HandleDatagram holds the handlers of datagrams of other protocols on the same socket, by their first byte.
+	HandleDatagram map[byte]func(content []byte, from netip.AddrPort)
 
 	startedAt   time.Time
 	sendNow     chan struct{}
@@ -163,7 +161,7 @@
 			n.Log.Debug("Reading a datagram failed.", "error", err)
 			continue
 		}
-		if n.HandleDatagram != nil && size > 0 && buffer[0] == n.DatagramMarker {
+		if size > 0 && n.HandleDatagram[buffer[0]] != nil {
 			n.handleDatagram(buffer[:size], from)
 			continue
 		}
@@ -176,11 +174,11 @@
 	}
 }
 
-// handleDatagram passes a datagram of another protocol to HandleDatagram.
+// handleDatagram passes a datagram of another protocol to its handler.
 func (n *Node) handleDatagram(content []byte, from net.Addr) {
 	if sender, ok := from.(*net.UDPAddr); ok {
 		address := sender.AddrPort()
-		n.HandleDatagram(content, netip.AddrPortFrom(address.Addr().Unmap(), address.Port()))
+		n.HandleDatagram[content[0]](content, netip.AddrPortFrom(address.Addr().Unmap(), address.Port()))
 	}
 }
 
--- a/node/build.go
+++ b/node/build.go
@@ -172,6 +172,7 @@
 		Crashes:       n.crashes,
 		CrashDetector: n.witness,
 		Quota:         n.quota,
+		Origins:       n.origins,
 		Retries: &retrybudget.Budget{
 			Clock:     n.Clock,
 			Limits:    n.Settings.Retry,
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/shelfshelf/shelfshelf/forward"
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
+	"github.com/shelfshelf/shelfshelf/origin"
 	"github.com/shelfshelf/shelfshelf/quota"
 	"github.com/shelfshelf/shelfshelf/relay"
 	"github.com/shelfshelf/shelfshelf/rollout"
@@ -80,6 +81,7 @@
 	Uses      shelfshelf.UsageStore
 	Crashes   shelfshelf.CrashStore
 	Rollouts  shelfshelf.RolloutStore
+	Versions  shelfshelf.VersionStore
 	// ReadyPath is where the balancer asks whether the instance takes connections.
 	ReadyPath string
 }
@@ -110,7 +112,9 @@
 	rollouts    *rollout.Tracker
 	// rolloutKeeper judges new versions, and writes down how far orders have come.
 	rolloutKeeper *rollout.Controller
-	upstream      *upstream.Client
+	// origins remembers at which versions streams began.
+	origins  *origin.Registry
+	upstream *upstream.Client
 	// forward sends requests to targets, over other instances where links fail; forwardServer serves those of
 	// other instances.
 	forward       *forward.Client
@@ -128,6 +132,8 @@
 	wasReady atomic.Bool
 	// toldCatalogAt is since when another instance knows a configuration.
 	toldCatalogAt toldAt
+	// longestStream is the time of streamTime that the routes ask for.
+	longestStream atomic.Int64
 	// keyLease is how old the knowledge of the configuration may be for keys to be
 	// taken.
 	keyLease atomic.Int64
@@ -141,7 +147,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
-	for _, part := range []func(context.Context) error{n.catalog.Run, n.gossip.Run, n.relay.Run, n.balancer.Run, n.places.Run, n.keeper.Run, n.crashKeeper.Run, n.rolloutKeeper.Run, n.upstream.Run, n.forward.Run} {
+	for _, part := range []func(context.Context) error{n.catalog.Run, n.gossip.Run, n.relay.Run, n.balancer.Run, n.places.Run, n.keeper.Run, n.crashKeeper.Run, n.rolloutKeeper.Run, n.origins.Run, n.upstream.Run, n.forward.Run} {
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
 	callers := &http.Server{
@@ -212,6 +218,8 @@
 	targets := n.catalog.UsableTargets()
 	n.rollouts.SetTargets(targets.Targets, targets.Version)
 	n.words.SetTargets(targets.Targets)
+	n.noteLongestStream(index.Bundle.Routes)
+	n.origins.SetTargets(targets.Targets)
 	n.balancer.SetTargets(index.Bundle.Pools, targets.Targets)
 	if !n.gossip.IsLocalAddress(from) {
 		n.gossip.SendNow()
--- a/node/places.go
+++ b/node/places.go
@@ -10,6 +10,7 @@
 	"github.com/shelfshelf/shelfshelf"
 	"github.com/shelfshelf/shelfshelf/announced"
 	"github.com/shelfshelf/shelfshelf/balance"
+	"github.com/shelfshelf/shelfshelf/origin"
 	"github.com/shelfshelf/shelfshelf/slots"
 )
 
@@ -20,6 +21,7 @@
 	if err != nil {
 		return eris.Wrap(err, "read the address for instances")
 	}
+	n.buildOrigins(address)
 	n.places = &slots.Client{
 		Clock:      n.Clock,
 		Log:        n.Log.WithPrefix("places"),
@@ -29,8 +31,7 @@
 	}
 	n.places.OnAnnouncement = func(told shelfshelf.TargetAnnouncement) { n.words.Merge([]shelfshelf.TargetAnnouncement{told}) }
 	n.places.Table = &slots.SlotTable{Clock: n.Clock, Capacity: n.capacity, RateLimit: n.pacing, SendGrant: n.places.SendGrant, OnBackoff: n.logBackoff}
-	n.gossip.HandleDatagram = n.places.Receive
-	n.gossip.DatagramMarker = slots.Marker
+	n.gossip.HandleDatagram = map[byte]func([]byte, netip.AddrPort){slots.Marker: n.places.Receive, origin.Marker: n.origins.Receive}
 	n.balancer.SlotOwners = n.places
 	return nil
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -25,6 +25,7 @@
 	n.stopping.Store(true)
 	n.gateway.Stop()
 	n.gossip.Leave()
+	n.origins.HandOver()
 	n.Log.Info("The instance is stopping.", "inFlight", n.gateway.InFlight(), "limit", n.Settings.StopLimit)
 	limit, cancel := context.WithTimeout(context.Background(), n.Settings.StopLimit-stopMargin)
 	defer cancel()
@@ -36,6 +37,7 @@
 	n.forwardServer.Stop()
 	err := server.Shutdown(limit)
 	n.forwardServer.Wait(limit)
+	n.origins.HandOver()
 	n.Log.Info("Callers are served.", "after", n.Clock.Now().Sub(began), "cut", n.gateway.InFlight(), "ofOthers", n.forwardServer.InFlight())
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
--- a/nodecli/node.go
+++ b/nodecli/node.go
@@ -63,6 +63,7 @@
 			Uses:      store,
 			Crashes:   store,
 			Rollouts:  store,
+			Versions:  store,
 			ReadyPath: platform.ReadyPath,
 		},
 	}
--- /dev/null
+++ b/origin/find.go
@@ -0,0 +1,173 @@
+package origin
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+const (
+	// answerTimeout is how long the instances that were asked have to answer; it usually takes a few
+	// milliseconds. The caller of a stream waits for two such rounds at most.
+	answerTimeout = 60 * time.Millisecond
+	// maxListAge is the age up to which the list of targets shows by itself that no version is missing from it.
+	maxListAge = 4 * time.Second
+	// loadTimeout bounds the read of the history of versions for a stream that is taken up.
+	loadTimeout = 300 * time.Millisecond
+)
+
+// search is one look-up of a stream.
+type search struct {
+	registry *Registry
+	key      shelfshelf.StreamKey
+	pool     shelfshelf.PoolName
+	found    shelfshelf.FoundOrigin
+	known    state
+	// several says that an instance that was asked knows of several versions.
+	several bool
+}
+
+// Find returns the version at which a stream that a caller takes up may go on: that of the record if there is
+// one here or at another instance, else the only one that the pool's targets have run for as long as streams
+// last.
+func (r *Registry) Find(ctx context.Context, customer shelfshelf.CustomerName, pool shelfshelf.PoolName, first shelfshelf.RequestID) (shelfshelf.FoundOrigin, error) {
+	s := &search{registry: r, pool: pool, key: shelfshelf.KeyOfStream(customer, pool, first)}
+	if first != "" {
+		if known, err := s.findRecord(ctx); known || err != nil {
+			return s.found, err
+		}
+	}
+	version, only := s.onlyVersion(ctx)
+	if !only {
+		return s.found, shelfshelf.ErrOriginUnknown
+	}
+	s.found.Version, s.found.Basis = version, shelfshelf.OriginOnlyVersion
+	return s.found, nil
+}
+
+// findRecord looks for a record, here and at other instances. The error is ErrOriginUnknown if records
+// contradict each other. The holders are asked although there is a record here: a caller may have used an ID
+// twice, and this instance need not know of both streams.
+func (s *search) findRecord(ctx context.Context) (known bool, err error) {
+	r := s.registry
+	here := r.answer(message{key: s.key, pool: s.pool})
+	s.take(here, shelfshelf.OriginRecorded)
+	ranked := r.rank(s.key)
+	s.ask(ctx, ranked.holders(r.Self), false)
+	if s.known == stateNone && (here.several || s.several) {
+		// Others are told only of streams of pools with several versions.
+		s.ask(ctx, ranked.others(r.Self), true)
+	}
+	if s.known == stateConflicting {
+		return false, shelfshelf.ErrOriginUnknown
+	}
+	return s.known == stateKnown, nil
+}
+
+// take adds what an instance knows.
+func (s *search) take(answer message, basis shelfshelf.OriginBasis) {
+	s.several = s.several || answer.several
+	switch {
+	case answer.state == stateNone:
+	case answer.state == stateConflicting, s.known == stateKnown && s.found.Version != answer.version:
+		s.known = stateConflicting
+	case s.known == stateNone:
+		s.known = stateKnown
+		s.found.Version, s.found.Basis = answer.version, basis
+	}
+}
+
+// ask asks instances until all have answered or the time for that is over, or only until one has a record.
+func (s *search) ask(ctx context.Context, instances []netip.AddrPort, untilKnown bool) {
+	if len(instances) == 0 {
+		return
+	}
+	r := s.registry
+	answers := make(chan message, len(instances))
+	r.mu.Lock()
+	r.lastID++
+	id := r.lastID
+	r.questions[id] = answers
+	r.mu.Unlock()
+	defer r.forget(id)
+	for _, address := range instances {
+		r.send(address, message{kind: kindAsk, id: id, key: s.key, pool: s.pool})
+	}
+	s.found.Asked += len(instances)
+	timeout := r.Clock.After(answerTimeout)
+	for range instances {
+		select {
+		case answer := <-answers:
+			s.found.Answered++
+			s.take(answer, shelfshelf.OriginAsked)
+		case <-timeout:
+			return
+		case <-ctx.Done():
+			return
+		}
+		if untilKnown && s.known != stateNone {
+			return
+		}
+	}
+}
+
+// forget drops a question.
+func (r *Registry) forget(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.questions, id)
+}
+
+// onlyVersion returns the version at which the stream must have begun because the pool has had no other. That
+// isn't known while this instance is cut off, nor soon after its start without the history in the store.
+func (s *search) onlyVersion(ctx context.Context) (shelfshelf.TargetVersion, bool) {
+	r := s.registry
+	if s.several || !s.current(ctx) || s.several || !r.historyKnown(ctx) {
+		return "", false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	versions := r.versions(s.pool, r.Clock.Now())
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// current reports whether a version that has just been listed would be known here: the list of targets is
+// recent, another instance has answered, or there is none. New versions reach all instances within some 0.3 s.
+func (s *search) current(ctx context.Context) bool {
+	r := s.registry
+	if r.ListAge() <= maxListAge || s.found.Answered > 0 {
+		return true
+	}
+	if s.found.Asked > 0 {
+		return false
+	}
+	holders := r.rank(s.key).holders(r.Self)
+	if len(holders) == 0 {
+		return true
+	}
+	s.ask(ctx, holders, false)
+	return s.found.Answered > 0
+}
+
+// historyKnown reports whether all versions are known that were listed for as long as streams last, and reads
+// the history in the store if this instance has not been running for so long.
+func (r *Registry) historyKnown(ctx context.Context) bool {
+	if r.knowsHistory() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	r.saver.loadOnce(ctx, r)
+	return r.knowsHistory()
+}
+
+func (r *Registry) knowsHistory() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Clock.Now().Sub(r.history.knownSince) >= r.StreamTime()
+}
--- /dev/null
+++ b/origin/registry_test.go
@@ -0,0 +1,288 @@
+package origin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+// memoryStore holds a history that was saved some time ago.
+type memoryStore struct {
+	history shelfshelf.VersionHistory
+	err     error
+	loads   int
+	saves   int
+}
+
+func (s *memoryStore) SaveVersions(_ context.Context, history shelfshelf.VersionHistory) error {
+	s.saves++
+	s.history, s.err = history, nil
+	return nil
+}
+
+func (s *memoryStore) LoadVersions(context.Context) (shelfshelf.VersionHistory, error) {
+	s.loads++
+	return s.history, s.err
+}
+
+// group is registries that send each other datagrams.
+type group struct {
+	registries map[netip.AddrPort]*Registry
+	members    map[shelfshelf.DataCentre][]shelfshelf.Member
+	// lost says that datagrams to an address are lost.
+	lost  map[netip.AddrPort]bool
+	sent  int
+	bytes int
+}
+
+// newGroup returns so many registries in two data centres.
+func newGroup(count int) (*group, []*Registry) {
+	g := &group{
+		registries: make(map[netip.AddrPort]*Registry), members: make(map[shelfshelf.DataCentre][]shelfshelf.Member),
+		lost: make(map[netip.AddrPort]bool),
+	}
+	var list []*Registry
+	for i := range count {
+		centre := shelfshelf.DataCentre(fmt.Sprint("dc", i%2))
+		r := &Registry{
+			Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), DataCentre: centre,
+			Self:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7600),
+			Members: func() map[shelfshelf.DataCentre][]shelfshelf.Member { return g.members },
+			ListAge: func() time.Duration { return 0 }, StreamTime: func() time.Duration { return 30 * time.Second },
+			Store: &memoryStore{err: shelfshelf.ErrNotFound}, IsSaver: func() bool { return i == 0 },
+		}
+		r.Send = func(to netip.AddrPort, content []byte) { g.send(r.Self, to, content) }
+		r.Init()
+		g.registries[r.Self] = r
+		g.members[centre] = append(g.members[centre], shelfshelf.Member{Hash: uint64(i + 1), Address: r.Self})
+		list = append(list, r)
+	}
+	return g, list
+}
+
+func (g *group) send(from, to netip.AddrPort, content []byte) {
+	g.sent++
+	g.bytes += len(content)
+	if !g.lost[to] && !g.lost[from] {
+		g.registries[to].Receive(content, from)
+	}
+}
+
+func targetsOf(versions ...shelfshelf.TargetVersion) []shelfshelf.Target {
+	var targets []shelfshelf.Target
+	for _, version := range versions {
+		targets = append(targets, shelfshelf.Target{Name: shelfshelf.TargetName("t" + version), Pool: "p", Version: version})
+	}
+	return targets
+}
+
+func setAll(list []*Registry, versions ...shelfshelf.TargetVersion) {
+	for _, r := range list {
+		r.SetTargets(targetsOf(versions...))
+	}
+}
+
+func begun(id shelfshelf.RequestID, version shelfshelf.TargetVersion) shelfshelf.StreamOrigin {
+	return shelfshelf.StreamOrigin{Key: shelfshelf.KeyOfStream("c", "p", id), Pool: "p", Version: version, Lifetime: 10 * time.Second}
+}
+
+func (r *Registry) find(id shelfshelf.RequestID) (shelfshelf.FoundOrigin, error) {
+	return r.Find(context.Background(), "c", "p", id)
+}
+
+// Two streams with the same ID began at two versions: which one a caller means can't be told. Another
+// customer's stream of that ID is another stream.
+func TestIDsThatCallersChooseMixNoStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, list := newGroup(7)
+		setAll(list, "v1", "v2")
+		list[1].Begun(begun("twice", "v1"))
+		list[2].Begun(begun("twice", "v2"))
+		list[1].Begun(begun("once", "v2"))
+		for i, r := range list {
+			if found, err := r.find("twice"); !errors.Is(err, shelfshelf.ErrOriginUnknown) {
+				t.Errorf("%d goes on at %+v", i, found)
+			}
+			if found, err := r.find("once"); err != nil || found.Version != "v2" {
+				t.Errorf("%d: %+v, %v", i, found, err)
+			}
+			if found, err := r.Find(context.Background(), "other", "p", "once"); !errors.Is(err, shelfshelf.ErrOriginUnknown) {
+				t.Errorf("%d: another customer's stream goes on at %+v", i, found)
+			}
+			if found, err := r.find("never"); !errors.Is(err, shelfshelf.ErrOriginUnknown) || r.Count() > 2 {
+				t.Errorf("%d: a stream that never began goes on at %+v, %d records", i, found, r.Count())
+			}
+		}
+	})
+}
+
+// With one version nothing is sent but by callers that name an attempt; once there is a second one, the
+// streams that began before are known to others.
+func TestStreamsThatBeganBeforeTheSecondVersionAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, list := newGroup(7)
+		for _, r := range list {
+			r.history.knownSince = time.Time{}
+		}
+		setAll(list, "v1")
+		for i := range 50 {
+			list[3].Begun(begun(shelfshelf.RequestID(fmt.Sprint(i)), "v1"))
+		}
+		if found, err := list[4].find(""); err != nil || found.Version != "v1" || g.sent > 0 {
+			t.Errorf("%+v, %v, %d datagrams", found, err, g.sent)
+		}
+		setAll(list, "v1", "v2")
+		t.Logf("%d datagrams of %d bytes for 50 streams", g.sent, g.bytes/max(g.sent, 1))
+		setAll(list, "v2")
+		g.lost[list[3].Self] = true
+		for i := range 50 {
+			if found, err := list[5].find(shelfshelf.RequestID(fmt.Sprint(i))); err != nil || found.Version != "v1" {
+				t.Errorf("%+v, %v", found, err)
+			}
+		}
+		time.Sleep(31 * time.Second)
+		if found, err := list[4].find(""); err != nil || found.Version != "v2" {
+			t.Errorf("after all streams of the first version: %+v, %v", found, err)
+		}
+	})
+}
+
+// An instance that has just started, or is cut off, doesn't take the one version that it knows for the only one.
+func TestOneListedVersionIsNotTheOnlyOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			running time.Duration
+			age     time.Duration
+			cut     bool
+			stored  *memoryStore
+			want    bool
+		}{
+			"started now, nothing stored":     {stored: &memoryStore{err: shelfshelf.ErrNotFound}},
+			"started now, store away":         {stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
+			"started now, another one gone":   {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": 5 * time.Second})},
+			"started now, another one long":   {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": time.Minute}), want: true},
+			"started now, stored lately":      {stored: stored(time.Second, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})},
+			"started now, one version":        {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0}), want: true},
+			"running long":                    {running: time.Minute, stored: &memoryStore{err: shelfshelf.ErrUnavailable}, want: true},
+			"running long, old list":          {running: time.Minute, age: 10 * time.Second, stored: &memoryStore{err: shelfshelf.ErrUnavailable}, want: true},
+			"running long, cut off, old list": {running: time.Minute, age: 10 * time.Second, cut: true, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
+		} {
+			g, list := newGroup(7)
+			r := list[0]
+			r.Store = c.stored
+			r.ListAge = func() time.Duration { return c.age }
+			setAll(list, "v1")
+			time.Sleep(c.running)
+			g.lost[r.Self] = c.cut
+			if found, err := r.find(""); (err == nil) != c.want {
+				t.Errorf("%s: %+v, %v", name, found, err)
+			}
+		}
+	})
+}
+
+func stored(knownFor time.Duration, versions map[shelfshelf.TargetVersion]time.Duration) *memoryStore {
+	return &memoryStore{history: shelfshelf.VersionHistory{
+		KnownFor: knownFor, Pools: map[shelfshelf.PoolName]map[shelfshelf.TargetVersion]time.Duration{"p": versions},
+	}}
+}
+
+// The records of an instance are bounded, those that are dropped are counted and logged, expired ones make room.
+func TestRecordsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, list := newGroup(1)
+		r := list[0]
+		var lines bytes.Buffer
+		r.Log = log.New(&lines)
+		setAll(list, "v1", "v2")
+		for i := range maxRecords + 100 {
+			r.Begun(begun(shelfshelf.RequestID(fmt.Sprint(i)), "v1"))
+		}
+		if r.Count() != maxRecords || r.Dropped() != 100 || strings.Count(lines.String(), "no room") != 1 {
+			t.Errorf("%d records, %d dropped: %s", r.Count(), r.Dropped(), lines.String())
+		}
+		time.Sleep(11 * time.Second)
+		r.Begun(begun("later", "v1"))
+		if r.Count() != 1 {
+			t.Errorf("%d records after all have expired", r.Count())
+		}
+	})
+}
+
+// Messages that this build doesn't know or can't read change nothing and break nothing.
+func TestUnreadableMessagesAreDropped(t *testing.T) {
+	t.Parallel()
+	_, list := newGroup(2)
+	unknown, err := encode(message{kind: 99, id: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, content := range [][]byte{{}, {Marker}, {Marker, 0xff, 0x00}, unknown, []byte("\x02not a message")} {
+		list[0].Receive(content, list[1].Self)
+	}
+	if list[0].Count() > 0 {
+		t.Errorf("%d records", list[0].Count())
+	}
+}
+
+// The instance in charge saves the history of versions when it changes, and only then.
+func TestHistoryIsSavedWhenItChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, list := newGroup(1)
+		r := list[0]
+		store := &memoryStore{err: shelfshelf.ErrNotFound}
+		r.Store = store
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = r.Run(ctx)
+		}()
+		for _, versions := range [][]shelfshelf.TargetVersion{{"v1"}, {"v1"}, {"v1", "v2"}, {"v2"}} {
+			r.SetTargets(targetsOf(versions...))
+			time.Sleep(3 * time.Second)
+		}
+		if ages := store.history.Pools["p"]; store.saves != 3 || ages["v2"] != 0 || ages["v1"] == 0 {
+			t.Errorf("%d saves, %v", store.saves, store.history)
+		}
+		cancel()
+		<-ended
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range []message{
+		{kind: kindAsk, id: 1, pool: "p"},
+		{kind: kindAnswer, id: 1, state: stateKnown, version: "v1", several: true},
+		{kind: kindTell, records: []toldRecord{{StreamOrigin: begun("x", "v1")}}},
+	} {
+		content, err := encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(content)
+	}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		m, err := decode(content)
+		if err != nil {
+			return
+		}
+		for _, told := range m.records {
+			if told.Lifetime < 0 || told.Lifetime > maxLifetime {
+				t.Errorf("lifetime %v", told.Lifetime)
+			}
+		}
+	})
+}
