balance: streams of a version that drains go on there while it serves

What callers saw: near the end of a release, streams of the old version that broke off ended; before the binding to versions they went on at the new one, with events of both. Cause: eligible leaves out all targets that leave. At the end of a release those are all of the old version: they serve for DrainMs after the store has taken that they drain, and a stream must not go anywhere else. Change: a bound stream may go to a target that has listed itself as leaving, from when this instance saw that until 0.7 s before the target's time is over (settings: targetDrain, from Bounds.DrainMs), after all targets that stay. Not to one that was leaving as it was first listed here, nor to one that says in its answers that it leaves; new requests go to neither as before. 0.7 s is chosen: 0.3 s until all instances know of a change, the rest for a dial and the request's way. TestDrainingTargetsGetOnlyStreams is new.

--- a/balance/backoff.go
+++ b/balance/backoff.go
@@ -17,7 +17,7 @@
 func (p *pool) requestedBackoffEnd(need Need, now time.Time) time.Time {
 	var first time.Time
 	for _, t := range p.targets {
-		if !t.eligible(need) {
+		if !t.eligible(need, now) {
 			continue
 		}
 		until := t.announcement.BackoffUntil
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -91,6 +91,8 @@
 	// known. Slots of targets with a limit are granted by their owners only, so without SlotOwners such
 	// targets get no requests.
 	Announcements shelfshelf.Announcements
+	// DrainTime is for how long targets serve after they have listed themselves as leaving; 0 if unknown.
+	DrainTime time.Duration
 
 	mu           sync.Mutex
 	pools        map[shelfshelf.PoolName]*pool
@@ -183,6 +185,7 @@
 	if p != nil {
 		b.updateCold(state, p, target, created, now)
 	}
+	b.updateDraining(state, target, created, now)
 	state.target = target
 	state.slots = max(target.Slots, 1)
 	state.region = b.Regions[target.DataCentre]
@@ -240,7 +243,7 @@
 	b.mu.Lock()
 	now := b.Clock.Now()
 	p := b.pools[need.Pool]
-	if p == nil || p.unservable(need) {
+	if p == nil || p.unservable(need, now) {
 		b.mu.Unlock()
 		return nil, &Refusal{Reason: shelfshelf.RefusedNoTarget, RetryAfter: max(b.RequestedBackoffLeft(need), minRetryAfter)}
 	}
@@ -264,9 +267,9 @@
 
 // unservable reports whether no target can ever serve a request, however long it waits. Such a
 // request is refused at once.
-func (p *pool) unservable(need Need) bool {
+func (p *pool) unservable(need Need, now time.Time) bool {
 	for _, t := range p.targets {
-		if t.eligible(need) {
+		if t.eligible(need, now) {
 			return false
 		}
 	}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -86,7 +86,7 @@
 // available reports whether a target accepts this request now. A backoff that a target has
 // requested applies to all requests of this instance, not only to the one that it rejected.
 func (t *targetState) available(need Need, now time.Time) bool {
-	return t.eligible(need) && !now.Before(t.availableAt())
+	return t.eligible(need, now) && !now.Before(t.availableAt())
 }
 
 // availableAt returns when the target accepts requests again, as far as is known.
@@ -95,9 +95,9 @@
 }
 
 // eligible reports whether a target may serve this request, now or later.
-func (t *targetState) eligible(need Need) bool {
+func (t *targetState) eligible(need Need, now time.Time) bool {
 	allowedRegion := need.AllowedRegions == nil || need.AllowedRegions.Allows(t.region)
-	return allowedRegion && !t.evacuated && !t.target.Leaving && !slices.Contains(need.ExcludedTargets, t.target.Name) && allowed(need, t)
+	return allowedRegion && !t.evacuated && t.stays(need, now) && !slices.Contains(need.ExcludedTargets, t.target.Name) && allowed(need, t)
 }
 
 // assignable reports whether a target may get this request now without asking its owner. It is
@@ -133,6 +133,10 @@
 	if t.target.DataCentre != b.DataCentre {
 		cost += time.Duration(remotePenaltyShare * float64(need.LatencyGoal))
 	}
+	if t.target.Leaving {
+		// A stream goes on there only if no other target has room: it may outlast the target.
+		cost += need.LatencyGoal
+	}
 	if p.spec.Engine == nil {
 		return cost
 	}
--- a/balance/owner_only.go
+++ b/balance/owner_only.go
@@ -125,8 +125,9 @@
 		return false, false
 	}
 	all = true
+	now := b.Clock.Now()
 	for _, t := range p.targets {
-		if t.eligible(a.need) {
+		if t.eligible(a.need, now) {
 			some = some || t.ownerOnly()
 			all = all && t.ownerOnly()
 		}
@@ -227,8 +228,9 @@
 	if p == nil {
 		return soonest
 	}
+	now := b.Clock.Now()
 	for _, t := range p.targets {
-		if !a.retriable(t) || !t.eligible(a.need) {
+		if !a.retriable(t) || !t.eligible(a.need, now) {
 			continue
 		}
 		at := t.availableAt()
--- a/balance/stream_test.go
+++ b/balance/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,3 +103,44 @@
 		t.Error("the stream got no slot at its version")
 	}
 }
+
+// A draining target serves on for a while: it gets streams of its version until shortly before it stops, and
+// nothing else.
+func TestDrainingTargetsGetOnlyStreams(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	b := streamBalancer(nil, "v1", "v2")
+	b.Clock, b.DrainTime = clock, 2*time.Second
+	pools := []shelfshelf.Pool{{Name: "p", Engine: &shelfshelf.EngineSpec{}}}
+	draining := func(names ...shelfshelf.TargetName) {
+		var targets []shelfshelf.Target
+		for _, version := range []shelfshelf.TargetVersion{"v1", "v2"} {
+			name := shelfshelf.TargetName("t" + version)
+			targets = append(targets, shelfshelf.Target{Name: name, Pool: "p", Version: version, Slots: 1, Leaving: slices.Contains(names, name)})
+		}
+		targets = append(targets, shelfshelf.Target{Name: "late", Pool: "p", Version: "v3", Slots: 1, Leaving: true})
+		b.SetTargets(pools, targets)
+	}
+	may := func(need Need, name shelfshelf.TargetName) bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.targets[name].eligible(need, clock.Now())
+	}
+	draining("tv1")
+	if !may(streamNeed("v1"), "tv1") || may(Need{Pool: "p"}, "tv1") || may(streamNeed("v2"), "tv1") {
+		t.Error("a draining target gets something else than streams of its version")
+	}
+	if may(streamNeed("v3"), "late") {
+		t.Error("a target that was draining as it was first listed gets streams")
+	}
+	clock.Advance(b.DrainTime - drainMargin)
+	draining("tv1")
+	if may(streamNeed("v1"), "tv1") {
+		t.Error("a target gets streams until it stops")
+	}
+	draining()
+	draining("tv1")
+	if !may(streamNeed("v1"), "tv1") {
+		t.Error("a target that drains again gets no streams")
+	}
+}
--- a/balance/target.go
+++ b/balance/target.go
@@ -41,6 +41,9 @@
 	region shelfshelf.Region
 	// evacuated says that the target's data centre is being evacuated.
 	evacuated bool
+	// drainsUntil is until when a target that has listed itself as leaving takes streams that can't go on
+	// elsewhere; zero if it doesn't.
+	drainsUntil time.Time
 	// slots is how many requests the target runs at once.
 	slots int
 	// engine says that the target is an engine, not a plain service.
--- a/node/build.go
+++ b/node/build.go
@@ -46,6 +46,7 @@
 		Fleet:         n,
 		Rollouts:      n.rollouts,
 		Announcements: n.words,
+		DrainTime:     n.Settings.TargetDrain,
 	}
 	n.rollouts.Running = n.balancer.InFlightByVersion
 	n.quota = &quota.Ledger{
--- a/settings/node.go
+++ b/settings/node.go
@@ -56,6 +56,8 @@
 	// KeyLease is how soon after a key is revoked no request with it may run.
 	KeyLease  time.Duration
 	StopLimit time.Duration
+	// TargetDrain is for how long targets serve after they have listed themselves as leaving; 0 if unknown.
+	TargetDrain time.Duration
 	// Retry bounds what is sent again, over all instances together.
 	Retry retrybudget.Limits
 	// Quota is how customers' limits are counted.
@@ -119,6 +121,7 @@
 	FirstStart  bool       `json:"firstStart"`
 	KeyLease    string     `json:"keyLease"`
 	StopLimit   string     `json:"stopLimit"`
+	TargetDrain string     `json:"targetDrain"`
 	Retry       *wireRetry `json:"retry"`
 	Quota       *wireQuota `json:"quota"`
 
@@ -173,6 +176,7 @@
 		FirstStart:  wire.FirstStart,
 		KeyLease:    duration(wire.KeyLease, 0),
 		StopLimit:   duration(wire.StopLimit, defaultNodeStop),
+		TargetDrain: duration(wire.TargetDrain, 0),
 		Retry:       retrybudget.Limits{Ratio: defaultRetryRatio, Slack: defaultRetrySlack, Window: defaultRetryWindow},
 	}
 	if node.Descriptors == 0 {
