origin: an instance that nobody answers doesn't take its one version for the only one

Cause: the list of targets counted as recent for 4 s, so that an instance that had just been cut off from the others and the store took up streams of a version that it hadn't heard of, if their callers name no attempt, and also if they do and no instance answered. Change: another instance has to answer. One that knows no others goes by its list for 1.5 s, the second after which who reads the store has it confirmed and some more; so does one that no instance has ever answered, as where all others are of an older build. Evidence: TestOneListedVersionIsNotTheOnlyOne (the case 'cut off, new list' failed before).

--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -129,13 +129,18 @@
 	p.stops[i]()
 }
 
-// pick returns an instance that callers come to, other than one.
+// pick returns an instance that callers come to, other than one where there are more.
 func (p *versioned) pick(not int) int {
-	for {
-		if i := rand.IntN(len(p.instances)); i != not && !p.gone[i] {
-			return i
+	var open []int
+	for i := range p.instances {
+		if i != not && !p.gone[i] {
+			open = append(open, i)
 		}
 	}
+	if len(open) == 0 {
+		return not
+	}
+	return open[rand.IntN(len(open))]
 }
 
 // inTurn returns the instances one after the other.
@@ -348,6 +353,8 @@
 // takeUpCase is what happens between the beginning of streams and their callers' taking them up.
 type takeUpCase struct {
 	instances int
+	// first says that the deployment starts for the first time.
+	first bool
 	// versions are listed at the beginning; none means v1 and v2.
 	versions []string
 	// begin is the instance that all streams begin at; 0 means any.
@@ -402,7 +409,7 @@
 	for name, c := range takeUpCases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			playLarge(t, c.instances, false, func(l *large) { playTakeUps(l, c) })
+			playLarge(t, c.instances, c.first, func(l *large) { playTakeUps(l, c) })
 		})
 	}
 }
--- a/origin/find.go
+++ b/origin/find.go
@@ -12,8 +12,9 @@
 	// answerTimeout is how long the instances that were asked have to answer; it usually takes a few
 	// milliseconds. The caller of a stream waits for two such rounds at most.
 	answerTimeout = 60 * time.Millisecond
-	// maxListAge is the age up to which the list of targets shows by itself that no version is missing from it.
-	maxListAge = 4 * time.Second
+	// maxListAge is the age up to which the list of targets shows by itself that no version is missing from it:
+	// who reads the store has the list confirmed every second.
+	maxListAge = 1500 * time.Millisecond
 	// loadTimeout bounds the read of the history of versions for a stream that is taken up.
 	loadTimeout = 300 * time.Millisecond
 )
@@ -55,10 +56,10 @@
 	here := r.answer(message{key: s.key, pool: s.pool})
 	s.take(here, shelfshelf.OriginRecorded)
 	ranked := r.rank(s.key)
-	s.ask(ctx, ranked.holders(r.Self), false)
+	s.ask(ctx, ranked.holders(r.Self), allAnswers)
 	if s.known == stateNone && (here.several || s.several) {
 		// Others are told only of streams of pools with several versions.
-		s.ask(ctx, ranked.others(r.Self), true)
+		s.ask(ctx, ranked.others(r.Self), oneRecord)
 	}
 	if s.known == stateConflicting {
 		return false, shelfshelf.ErrOriginUnknown
@@ -79,8 +80,18 @@
 	}
 }
 
-// ask asks instances until all have answered or the time for that is over, or only until one has a record.
-func (s *search) ask(ctx context.Context, instances []netip.AddrPort, untilKnown bool) {
+// enough says how long instances that were asked are waited for.
+type enough uint8
+
+const (
+	// allAnswers waits until all have answered, oneRecord until one has a record, and anyAnswer for the first.
+	allAnswers enough = iota
+	oneRecord
+	anyAnswer
+)
+
+// ask asks instances and waits until there are enough answers, or the time for them is over.
+func (s *search) ask(ctx context.Context, instances []netip.AddrPort, wanted enough) {
 	if len(instances) == 0 {
 		return
 	}
@@ -107,7 +118,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if untilKnown && s.known != stateNone {
+		if wanted == anyAnswer || wanted == oneRecord && s.known != stateNone {
 			return
 		}
 	}
@@ -136,22 +147,19 @@
 	return versions[0], true
 }
 
-// current reports whether a version that has just been listed would be known here: the list of targets is
-// recent, another instance has answered, or there is none. New versions reach all instances within some 0.3 s.
+// current reports whether a version that has just been listed would be known here or to one that was asked: new
+// versions reach all instances within some 0.3 s. An instance without others, or whose others are of builds
+// that don't answer, goes by the age of its list.
 func (s *search) current(ctx context.Context) bool {
 	r := s.registry
-	if r.ListAge() <= maxListAge || s.found.Answered > 0 {
-		return true
-	}
-	if s.found.Asked > 0 {
-		return false
-	}
 	holders := r.rank(s.key).holders(r.Self)
-	if len(holders) == 0 {
+	if s.found.Asked == 0 {
+		s.ask(ctx, holders, anyAnswer)
+	}
+	if s.found.Answered > 0 {
 		return true
 	}
-	s.ask(ctx, holders, false)
-	return s.found.Answered > 0
+	return (len(holders) == 0 || !r.answered.Load()) && r.ListAge() <= maxListAge
 }
 
 // historyKnown reports whether all versions are known that were listed for as long as streams last, and reads
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -46,6 +47,8 @@
 	lastID    uint64
 	droppedAt time.Time
 	saver     saver
+	// answered says that another instance has answered a question since this one started.
+	answered atomic.Bool
 }
 
 // Init prepares the registry; it comes before all other methods.
@@ -210,6 +213,7 @@
 }
 
 func (r *Registry) takeAnswer(answer message) {
+	r.answered.Store(true)
 	r.mu.Lock()
 	waiting := r.questions[answer.id]
 	r.mu.Unlock()
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -140,9 +140,10 @@
 		for i := range 50 {
 			list[3].Begun(begun(shelfshelf.RequestID(fmt.Sprint(i)), "v1"))
 		}
-		if found, err := list[4].find(""); err != nil || found.Version != "v1" || g.sent > 0 {
+		if found, err := list[4].find(""); err != nil || found.Version != "v1" || g.sent != 2*found.Asked {
 			t.Errorf("%+v, %v, %d datagrams", found, err, g.sent)
 		}
+		g.sent, g.bytes = 0, 0
 		setAll(list, "v1", "v2")
 		t.Logf("%d datagrams of %d bytes for 50 streams", g.sent, g.bytes/max(g.sent, 1))
 		setAll(list, "v2")
@@ -166,6 +167,7 @@
 			running time.Duration
 			age     time.Duration
 			cut     bool
+			older   bool
 			stored  *memoryStore
 			want    bool
 		}{
@@ -178,6 +180,9 @@
 			"running long":                    {running: time.Minute, stored: &memoryStore{err: shelfshelf.ErrUnavailable}, want: true},
 			"running long, old list":          {running: time.Minute, age: 10 * time.Second, stored: &memoryStore{err: shelfshelf.ErrUnavailable}, want: true},
 			"running long, cut off, old list": {running: time.Minute, age: 10 * time.Second, cut: true, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
+			"running long, cut off, new list": {running: time.Minute, age: time.Second, cut: true, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
+			"others of an older build":        {running: time.Minute, age: time.Second, cut: true, older: true, want: true},
+			"older builds, old list":          {running: time.Minute, age: 10 * time.Second, cut: true, older: true},
 		} {
 			g, list := newGroup(7)
 			r := list[0]
@@ -185,6 +190,9 @@
 			r.ListAge = func() time.Duration { return c.age }
 			setAll(list, "v1")
 			time.Sleep(c.running)
+			if !c.older {
+				_, _ = r.find("")
+			}
 			g.lost[r.Self] = c.cut
 			if found, err := r.find(""); (err == nil) != c.want {
 				t.Errorf("%s: %+v, %v", name, found, err)
