soak: callers take streams up before two versions, and no stream may hold events of both

Cause: every stand-in had one version, no caller of the soak took a stream up, so that no seed could show the fault. Change: the engines run two versions that drain, go from the list and come back through the whole soak, by draws of their own, so that seeds keep their faults. Half of the callers of streams break them off; all take streams up at other instances, at once, soon or after 5 s, up to three times. More than two streams with events of two versions fail the seed.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -111,6 +111,10 @@
 			c.run(ctx, s.nodes[i%len(s.nodes)])
 		}()
 	}
+	released := &releases{stage: s, random: rand.New(rand.NewPCG(seed, 4)), done: make(chan struct{})}
+	releasing, endReleases := context.WithTimeout(ctx, *length)
+	defer endReleases()
+	go released.run(releasing)
 	var drills *returns
 	if beside == withReturns {
 		drills = &returns{stage: s, random: rand.New(rand.NewPCG(seed, 2)), done: make(chan struct{})}
@@ -123,6 +127,7 @@
 	} else {
 		plan.run(*length)
 	}
+	<-released.done
 	if said != nil {
 		said.endRests()
 	}
@@ -138,6 +143,7 @@
 		drills.checkFollowed(t)
 	}
 	c.check(t, calm)
+	c.checkChains(t)
 	named.check(t)
 	if said != nil {
 		said.check(t, c)
