--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -62,8 +63,10 @@
 	m.set.GetOrCreateHistogram(`shelf_quota_report_age_seconds`).Update(v.ReportAge.Seconds())
 }
 
-// countTakenUp counts a stream that a caller takes up, by what is known of its beginning.
-func (m *Metrics) countTakenUp(basis string) {
+// observeTakenUp counts a stream that a caller takes up, by what is known of its beginning, and records how long
+// it took to find that out.
+func (m *Metrics) observeTakenUp(basis string, took time.Duration) {
+	m.set.GetOrCreateHistogram(`shelf_stream_lookup_seconds`).Update(took.Seconds())
 	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_streams_taken_up_total{origin=%q}`, basis)).Inc()
 }
 
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -22,16 +22,17 @@
 	}
 	began := c.server.Clock.Now()
 	found, err := c.server.Origins.Find(c.ctx, c.customerName(), c.pool, c.call.Resumes)
+	took := c.server.Clock.Now().Sub(began)
 	fields := []any{
 		"request", c.call.ID, "resumes", c.call.Resumes, "lastEvent", c.call.LastEventID, "pool", c.pool,
-		"asked", found.Asked, "answered", found.Answered, "took", c.server.Clock.Now().Sub(began),
+		"asked", found.Asked, "answered", found.Answered, "took", took,
 	}
 	if err != nil {
-		c.server.Metrics.countTakenUp("unknown")
+		c.server.Metrics.observeTakenUp("unknown", took)
 		c.server.Log.Warn("A stream can't go on.", append(fields, "error", err)...)
 		return c.refusalFor(err.Error(), unavailableRetryAfter)
 	}
-	c.server.Metrics.countTakenUp(found.Basis.String())
+	c.server.Metrics.observeTakenUp(found.Basis.String(), took)
 	c.server.Log.Info("A stream is taken up.", append(fields, "version", found.Version, "basis", found.Basis)...)
 	c.streamVersion = &found.Version
 	c.originRecorded = found.Basis != shelfshelf.OriginOnlyVersion
--- a/node/origins.go
+++ b/node/origins.go
@@ -25,7 +25,7 @@
 	}
 	n.origins.Init()
 	n.metrics.Gauge("shelf_stream_records", func() float64 { return float64(n.origins.Count()) })
-	n.metrics.Gauge("shelf_stream_records_dropped", func() float64 { return float64(n.origins.Dropped()) })
+	n.metrics.Gauge("shelf_stream_records_dropped_total", func() float64 { return float64(n.origins.Dropped()) })
 }
 
 // listAge returns how long ago the list of targets was known to be current.
--- a/node/versions_faults_test.go
+++ b/node/versions_faults_test.go
@@ -62,10 +62,10 @@
 var takeUpFaultCases = map[string]takeUpCase{
 	"restarted in turn": {instances: 7, between: func(p *versioned) { p.restartInTurn(700*time.Millisecond, true) }},
 	// Nobody need know any more: no stream has to go on, and none may mix.
-	"killed in turn":   {instances: 7, between: func(p *versioned) { p.restartInTurn(700*time.Millisecond, false) }, least: nobodyKnows},
-	"all killed":       {instances: 7, between: func(p *versioned) { p.restartAll(); time.Sleep(1500 * time.Millisecond) }, least: nobodyKnows},
-	"40% killed of 7":  {instances: 7, between: func(p *versioned) { p.killShare(3) }},
-	"40% killed of 85": {instances: 85, between: func(p *versioned) { p.killShare(34) }},
+	"killed in turn":           {instances: 7, between: func(p *versioned) { p.restartInTurn(700*time.Millisecond, false) }, least: nobodyKnows},
+	"all killed":               {instances: 7, between: func(p *versioned) { p.restartAll(); time.Sleep(1500 * time.Millisecond) }, least: nobodyKnows},
+	"40% killed of 7":          {instances: 7, between: func(p *versioned) { p.killShare(3) }},
+	"85 instances, 40% killed": {instances: 85, between: func(p *versioned) { p.killShare(34) }},
 	"store away": {instances: 7, between: func(p *versioned) {
 		p.platform.SetFaults(fake.PlatformFaults{Busy: true})
 		time.Sleep(3 * time.Second)
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -75,6 +75,8 @@
 }
 
 func (p *versioned) serveVersion(version string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	name := fmt.Sprintf("%s-%d", version, len(p.targets))
 	ip := fmt.Sprintf("10.200.%d.1", len(p.targets)+1)
 	server := &fake.Server{ID: name, Events: streamEvents, Version: version}
@@ -116,9 +118,16 @@
 	})
 }
 
+// setGone has callers come to an instance or not.
+func (p *versioned) setGone(i int, gone bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gone[i] = gone
+}
+
 // kill ends an instance without a word.
 func (p *versioned) kill(i int) {
-	p.gone[i] = true
+	p.setGone(i, true)
 	p.cutOff(i)
 	p.stops[i]()
 }
@@ -132,6 +141,8 @@
 // pick returns an instance that callers come to, other than one where there are more.
 func (p *versioned) pick(not int) int {
 	var open []int
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for i := range p.instances {
 		if i != not && !p.gone[i] {
 			open = append(open, i)
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -262,11 +262,11 @@
 			r.SetTargets(targetsOf(versions...))
 			time.Sleep(3 * time.Second)
 		}
+		cancel()
+		<-ended
 		if ages := store.history.Pools["p"]; store.saves != 3 || ages["v2"] != 0 || ages["v1"] == 0 {
 			t.Errorf("%d saves, %v", store.saves, store.history)
 		}
-		cancel()
-		<-ended
 	})
 }
 
