origin: whom nobody answers goes by the store's word only if that came after the others' last

Cause: found by reading. An instance that nobody had ever answered, or that knew no others, took its list of targets for recent by its age. One that is cut off from the others and the store before its first question, or whose others have fallen silent a second later, then took up streams of a version that it hadn't heard of. Change: without an answer, a stream without a record goes on at the one version only if the store has confirmed the configuration within 2.5 s and since the last message of any other instance: then the others are gone, and this instance isn't cut off. Where all others are of a build that doesn't answer, such streams are refused until a second instance is of this build. A store that comes back from a copy gets the history of versions again. Evidence: five new cases of TestOneListedVersionIsNotTheOnlyOne.

--- a/node/origins.go
+++ b/node/origins.go
@@ -20,7 +20,8 @@
 func (n *Node) buildOrigins(address netip.AddrPort) {
 	n.origins = &origin.Registry{
 		Clock: n.Clock, Log: n.Log.WithPrefix("origin"), Self: address, DataCentre: n.Settings.DataCentre,
-		Members: n.gossip.MembersByDataCentre, Send: n.gossip.SendDatagram, ListAge: n.listAge, StreamTime: n.streamTime,
+		Members: n.gossip.MembersByDataCentre, Send: n.gossip.SendDatagram, StoreContact: n.storeContact,
+		LastHeard: n.gossip.LastHeard, StreamTime: n.streamTime,
 		Store: n.Platform.Versions, IsSaver: n.leads, FirstStart: n.Settings.FirstStart,
 	}
 	n.origins.Init()
@@ -28,10 +29,10 @@
 	n.metrics.Gauge("shelf_stream_records_dropped_total", func() float64 { return float64(n.origins.Dropped()) })
 }
 
-// listAge returns how long ago the list of targets was known to be current.
-func (n *Node) listAge() time.Duration {
-	_, at := n.catalog.TargetsVersion()
-	return n.Clock.Now().Sub(at)
+// storeContact returns as of when the configuration was last known to be current.
+func (n *Node) storeContact() time.Time {
+	_, at := n.catalog.Index()
+	return at
 }
 
 // streamTime returns for how long streams and their take-ups last at most.
--- a/node/start.go
+++ b/node/start.go
@@ -147,4 +147,5 @@
 func (n *Node) storeReturned() {
 	n.gossip.CheckAnnouncement()
 	n.crashKeeper.StoreReset()
+	n.origins.StoreReset()
 }
--- a/node/versions_faults_test.go
+++ b/node/versions_faults_test.go
@@ -112,16 +112,20 @@
 // An instance that is cut off from the others and the store doesn't learn of a version that is listed then, and
 // its callers bring streams of that version.
 func TestStreamsOfVersionsThatAnInstanceDoesNotListEnd(t *testing.T) {
-	for _, wait := range []time.Duration{1200 * time.Millisecond, 5 * time.Second} {
-		t.Run(fmt.Sprint(wait), func(t *testing.T) {
+	for _, c := range []struct {
+		wait   time.Duration
+		silent bool
+	}{{300 * time.Millisecond, false}, {1200 * time.Millisecond, false}, {1200 * time.Millisecond, true}, {2200 * time.Millisecond, true}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			t.Parallel()
-			playLarge(t, 7, false, func(l *large) {
+			playLarge(t, 7, true, func(l *large) {
 				p := newVersioned(l, "v1")
+				p.silent = c.silent
 				p.network.CutLinks(fake.LinkFault{}, func(from, to string) bool {
 					return from == machineOf(2) && (to == "10.200.0.1" || to[:6] != "10.200")
 				})
 				p.release("v2")
-				time.Sleep(wait)
+				time.Sleep(c.wait)
 				streams := p.begin(30, brokenAfter, func() int { return p.pick(2) })
 				p.cutFromOthers(2)
 				p.takeUp(streams, 0)
--- a/origin/find.go
+++ b/origin/find.go
@@ -12,9 +12,9 @@
 	// answerTimeout is how long the instances that were asked have to answer; it usually takes a few
 	// milliseconds. The caller of a stream waits for two such rounds at most.
 	answerTimeout = 60 * time.Millisecond
-	// maxListAge is the age up to which the list of targets shows by itself that no version is missing from it:
-	// who reads the store has the list confirmed every second.
-	maxListAge = 1500 * time.Millisecond
+	// maxContactAge is how long ago the store may have answered an instance that goes by that alone: who reads
+	// it has its configuration confirmed every second, as of the second before.
+	maxContactAge = 2500 * time.Millisecond
 	// loadTimeout bounds the read of the history of versions for a stream that is taken up.
 	loadTimeout = 300 * time.Millisecond
 )
@@ -147,19 +147,19 @@
 	return versions[0], true
 }
 
-// current reports whether a version that has just been listed would be known here or to one that was asked: new
-// versions reach all instances within some 0.3 s. An instance without others, or whose others are of builds
-// that don't answer, goes by the age of its list.
+// current reports whether a version that has just been listed would be known here, or to one that was asked: new
+// versions reach all instances within some 0.3 s. If nobody answers, the others may be gone or this instance may
+// be cut off. It isn't if the store has answered it since the others were last heard.
 func (s *search) current(ctx context.Context) bool {
 	r := s.registry
-	holders := r.rank(s.key, r.Members(), holderDepth).holders(r.Self)
 	if s.found.Asked == 0 {
-		s.ask(ctx, holders, anyAnswer)
+		s.ask(ctx, r.rank(s.key, r.Members(), holderDepth).holders(r.Self), anyAnswer)
 	}
 	if s.found.Answered > 0 {
 		return true
 	}
-	return (len(holders) == 0 || !r.answered.Load()) && r.ListAge() <= maxListAge
+	contact := r.StoreContact()
+	return contact.After(r.LastHeard()) && r.Clock.Now().Sub(contact) <= maxContactAge
 }
 
 // historyKnown reports whether all versions are known that were listed for as long as streams last, and reads
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -28,8 +27,10 @@
 	Members func() map[shelfshelf.DataCentre][]shelfshelf.Member
 	// Send sends a datagram, which may be lost.
 	Send func(to netip.AddrPort, content []byte)
-	// ListAge returns how long ago the list of targets was known to be current.
-	ListAge func() time.Duration
+	// StoreContact returns when the store last showed that this instance reaches it, itself or through others,
+	// and LastHeard when another instance was last heard; zero if never.
+	StoreContact func() time.Time
+	LastHeard    func() time.Time
 	// StreamTime returns for how long a stream and its take-ups last at most.
 	StreamTime func() time.Duration
 	// Store keeps the history of versions. IsSaver reports whether this instance is in charge of saving it.
@@ -47,8 +48,6 @@
 	lastID    uint64
 	droppedAt time.Time
 	saver     saver
-	// answered says that another instance has answered a question since this one started.
-	answered atomic.Bool
 }
 
 // Init prepares the registry; it comes before all other methods.
@@ -104,6 +103,9 @@
 	return r.history.since(pool, now.Add(-r.StreamTime()))
 }
 
+// StoreReset has the history of versions saved again: the store may have lost it.
+func (r *Registry) StoreReset() { r.saver.changed() }
+
 // Begun records where a stream began and, if its pool has several versions, tells others before it returns.
 func (r *Registry) Begun(origin shelfshelf.StreamOrigin) {
 	r.mu.Lock()
@@ -217,7 +219,6 @@
 }
 
 func (r *Registry) takeAnswer(answer message) {
-	r.answered.Store(true)
 	r.mu.Lock()
 	waiting := r.questions[answer.id]
 	r.mu.Unlock()
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -58,9 +58,9 @@
 		centre := shelfshelf.DataCentre(fmt.Sprint("dc", i%2))
 		r := &Registry{
 			Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), DataCentre: centre,
-			Self:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7600),
-			Members: func() map[shelfshelf.DataCentre][]shelfshelf.Member { return g.members },
-			ListAge: func() time.Duration { return 0 }, StreamTime: func() time.Duration { return 30 * time.Second },
+			Self:         netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7600),
+			Members:      func() map[shelfshelf.DataCentre][]shelfshelf.Member { return g.members },
+			StoreContact: time.Now, LastHeard: time.Now, StreamTime: func() time.Duration { return 30 * time.Second },
 			Store: &memoryStore{err: shelfshelf.ErrNotFound}, IsSaver: func() bool { return i == 0 },
 		}
 		r.Send = func(to netip.AddrPort, content []byte) { g.send(r.Self, to, content) }
@@ -165,34 +165,32 @@
 	synctest.Test(t, func(t *testing.T) {
 		for name, c := range map[string]struct {
 			running time.Duration
-			age     time.Duration
 			cut     bool
-			older   bool
+			heard   time.Duration
+			contact time.Duration
 			stored  *memoryStore
 			want    bool
 		}{
-			"started now, nothing stored":     {stored: &memoryStore{err: shelfshelf.ErrNotFound}},
-			"started now, store away":         {stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
-			"started now, another one gone":   {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": 5 * time.Second})},
-			"started now, another one long":   {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": time.Minute}), want: true},
-			"started now, stored lately":      {stored: stored(time.Second, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})},
-			"started now, one version":        {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0}), want: true},
-			"running long":                    {running: time.Minute, stored: &memoryStore{err: shelfshelf.ErrUnavailable}, want: true},
-			"running long, old list":          {running: time.Minute, age: 10 * time.Second, stored: &memoryStore{err: shelfshelf.ErrUnavailable}, want: true},
-			"running long, cut off, old list": {running: time.Minute, age: 10 * time.Second, cut: true, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
-			"running long, cut off, new list": {running: time.Minute, age: time.Second, cut: true, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
-			"others of an older build":        {running: time.Minute, age: time.Second, cut: true, older: true, want: true},
-			"older builds, old list":          {running: time.Minute, age: 10 * time.Second, cut: true, older: true},
+			"started now, nothing stored":           {stored: &memoryStore{err: shelfshelf.ErrNotFound}},
+			"started now, store away":               {stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
+			"started now, another one gone":         {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": 5 * time.Second})},
+			"started now, another one long":         {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": time.Minute}), want: true},
+			"started now, stored lately":            {stored: stored(time.Second, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})},
+			"started now, one version":              {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0}), want: true},
+			"running long":                          {running: time.Minute, stored: &memoryStore{err: shelfshelf.ErrUnavailable}, want: true},
+			"running long, cut off just now":        {running: time.Minute, cut: true, heard: 0, contact: time.Second, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
+			"running long, cut off for some time":   {running: time.Minute, cut: true, heard: 3 * time.Second, contact: 4 * time.Second, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
+			"the others gone, store answers":        {running: time.Minute, cut: true, heard: 3 * time.Second, contact: time.Second, want: true},
+			"the others gone, store away since":     {running: time.Minute, cut: true, heard: 9 * time.Second, contact: 5 * time.Second},
+			"others of a build that doesn't answer": {running: time.Minute, cut: true, heard: 0, contact: time.Second},
 		} {
 			g, list := newGroup(7)
 			r := list[0]
 			r.Store = c.stored
-			r.ListAge = func() time.Duration { return c.age }
+			r.StoreContact = func() time.Time { return time.Now().Add(-c.contact) }
+			r.LastHeard = func() time.Time { return time.Now().Add(-c.heard) }
 			setAll(list, "v1")
 			time.Sleep(c.running)
-			if !c.older {
-				_, _ = r.find("")
-			}
 			g.lost[r.Self] = c.cut
 			if found, err := r.find(""); (err == nil) != c.want {
 				t.Errorf("%s: %+v, %v", name, found, err)
