--- a/node/limited_test.go
+++ b/node/limited_test.go
@@ -127,8 +127,13 @@
 }
 
 func (p *limited) serve(name, service, centre string, events int) {
-	ip := fmt.Sprintf("10.200.%d.1", len(p.targets)+1)
-	server := &fake.Server{ID: name, Events: events}
+	p.host(&fake.Server{ID: name, Events: events}, centre)
+	p.put("servers", name, object{"Service": service, "Address": p.addresses[name], "Zone": centre, "Slots": 8, "State": "ready"})
+}
+
+// host runs a target's process.
+func (p *limited) host(server *fake.Server, centre string) {
+	ip, name := fmt.Sprintf("10.200.%d.1", len(p.targets)+1), server.ID
 	server.SetFaults(fake.ServerFaults{Slow: 10 * time.Millisecond})
 	process := &http.Server{Handler: server}
 	p.ends[name] = func() { _ = process.Close() }
@@ -137,7 +142,6 @@
 	p.ended.Go(func() { _ = process.Serve(listener) })
 	p.targets[name] = server
 	p.addresses[name], p.centres[name] = ip+":80", centre
-	p.put("servers", name, object{"Service": service, "Address": ip + ":80", "Zone": centre, "Slots": 8, "State": "ready"})
 }
 
 // name has a target name a limit from now on.
