--- a/origin/find.go
+++ b/origin/find.go
@@ -54,12 +54,12 @@
 func (s *search) findRecord(ctx context.Context) (known bool, err error) {
 	r := s.registry
 	here := r.answer(message{key: s.key, pool: s.pool})
-	s.take(here, shelfshelf.OriginRecorded)
+	s.merge(here, shelfshelf.OriginRecorded)
 	ranked := r.rank(s.key, r.Members(), holderDepth+maxMoreAsked)
 	s.ask(ctx, ranked.holders(r.Self), allAnswers)
 	if s.known == stateNone && (here.several || s.several) {
 		// Others are told only of streams of pools with several versions.
-		s.ask(ctx, ranked.others(r.Self), oneRecord)
+		s.ask(ctx, ranked.others(r.Self), firstRecord)
 	}
 	if s.known == stateConflicting {
 		return false, shelfshelf.ErrOriginUnknown
@@ -67,8 +67,8 @@
 	return s.known == stateKnown, nil
 }
 
-// take adds what an instance knows.
-func (s *search) take(answer message, basis shelfshelf.OriginBasis) {
+// merge adds what an instance knows.
+func (s *search) merge(answer message, basis shelfshelf.OriginBasis) {
 	s.several = s.several || answer.several
 	switch {
 	case answer.state == stateNone:
@@ -80,50 +80,60 @@
 	}
 }
 
-// enough says how long instances that were asked are waited for.
-type enough uint8
+// waitMode says how long instances that were asked are waited for.
+type waitMode uint8
 
 const (
-	// allAnswers waits until all have answered, oneRecord until one has a record, and anyAnswer for the first.
-	allAnswers enough = iota
-	oneRecord
-	anyAnswer
+	// allAnswers waits until all have answered, firstRecord until one has a record, and firstAnswer for the first.
+	allAnswers waitMode = iota
+	firstRecord
+	firstAnswer
 )
 
-// ask asks instances and waits until there are enough answers, or the time for them is over.
-func (s *search) ask(ctx context.Context, instances []netip.AddrPort, wanted enough) {
+// ask asks instances and collects their answers.
+func (s *search) ask(ctx context.Context, instances []netip.AddrPort, mode waitMode) {
 	if len(instances) == 0 {
 		return
 	}
 	r := s.registry
-	answers := make(chan message, len(instances))
-	r.mu.Lock()
-	r.lastID++
-	id := r.lastID
-	r.questions[id] = answers
-	r.mu.Unlock()
+	id, answers := r.question(len(instances))
 	defer r.forget(id)
 	for _, address := range instances {
 		r.send(address, message{kind: kindAsk, id: id, key: s.key, pool: s.pool})
 	}
 	s.found.Asked += len(instances)
-	timeout := r.Clock.After(answerTimeout)
-	for range instances {
+	s.collect(ctx, answers, mode)
+}
+
+// collect waits for answers as long as the mode says, and answerTimeout at most.
+func (s *search) collect(ctx context.Context, answers <-chan message, mode waitMode) {
+	timeout := s.registry.Clock.After(answerTimeout)
+	for range cap(answers) {
 		select {
 		case answer := <-answers:
 			s.found.Answered++
-			s.take(answer, shelfshelf.OriginAsked)
+			s.merge(answer, shelfshelf.OriginAsked)
 		case <-timeout:
 			return
 		case <-ctx.Done():
 			return
 		}
-		if wanted == anyAnswer || wanted == oneRecord && s.known != stateNone {
+		if mode == firstAnswer || mode == firstRecord && s.known != stateNone {
 			return
 		}
 	}
 }
 
+// question returns the ID of a new question and the channel of its answers, one of each instance.
+func (r *Registry) question(instances int) (uint64, <-chan message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answers := make(chan message, instances)
+	r.lastID++
+	r.questions[r.lastID] = answers
+	return r.lastID, answers
+}
+
 // forget drops a question.
 func (r *Registry) forget(id uint64) {
 	r.mu.Lock()
@@ -153,7 +163,7 @@
 func (s *search) current(ctx context.Context) bool {
 	r := s.registry
 	if s.found.Asked == 0 {
-		s.ask(ctx, r.rank(s.key, r.Members(), holderDepth).holders(r.Self), anyAnswer)
+		s.ask(ctx, r.rank(s.key, r.Members(), holderDepth).holders(r.Self), firstAnswer)
 	}
 	if s.found.Answered > 0 {
 		return true
--- a/origin/holders.go
+++ b/origin/holders.go
@@ -50,7 +50,7 @@
 	var ranked ranking
 	centres := make([][]scored, len(names))
 	for i, name := range names {
-		centres[i] = first(key, members[name], depth)
+		centres[i] = topMembers(key, members[name], depth)
 		if name == r.DataCentre {
 			ranked.nearest = firstOther(centres[i], r.Self)
 		}
@@ -65,8 +65,8 @@
 	return ranked
 }
 
-// first returns the members of a data centre with the highest scores for a stream, the highest first.
-func first(key shelfshelf.StreamKey, members []shelfshelf.Member, depth int) []scored {
+// topMembers returns the members of a data centre with the highest scores for a stream, the highest first.
+func topMembers(key shelfshelf.StreamKey, members []shelfshelf.Member, depth int) []scored {
 	list := make([]scored, 0, depth+1)
 	for _, member := range members {
 		one := scored{address: member.Address, score: score(key, member.Hash)}
--- a/origin/records.go
+++ b/origin/records.go
@@ -26,8 +26,8 @@
 	conflicting bool
 }
 
-// toldRecord is a record as it goes from instance to instance.
-type toldRecord struct {
+// sharedRecord is a record as it goes from instance to instance.
+type sharedRecord struct {
 	shelfshelf.StreamOrigin
 	conflicting bool
 }
@@ -42,7 +42,7 @@
 }
 
 // put adds a record, and reports false if there is no room for it.
-func (r *records) put(told toldRecord, now time.Time) bool {
+func (r *records) put(told sharedRecord, now time.Time) bool {
 	origin := told.StreamOrigin
 	if r.byKey == nil {
 		r.byKey = make(map[shelfshelf.StreamKey]record)
@@ -84,12 +84,12 @@
 }
 
 // list returns the records that a condition accepts.
-func (r *records) list(now time.Time, accepts func(record) bool) []toldRecord {
-	var told []toldRecord
+func (r *records) list(now time.Time, accepts func(record) bool) []sharedRecord {
+	var told []sharedRecord
 	for key, known := range r.byKey {
 		if now.Before(known.expires) && accepts(known) {
 			origin := shelfshelf.StreamOrigin{Key: key, Version: known.version, Lifetime: known.expires.Sub(now)}
-			told = append(told, toldRecord{StreamOrigin: origin, conflicting: known.conflicting})
+			told = append(told, sharedRecord{StreamOrigin: origin, conflicting: known.conflicting})
 		}
 	}
 	return told
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -71,11 +71,12 @@
 	before := r.mixedPools(now)
 	changed := r.history.set(targets, now)
 	after := r.mixedPools(now)
-	var told []toldRecord
+	var told []sharedRecord
 	for pool := range after {
 		if !before[pool] {
-			told = append(told, r.records.list(now, func(known record) bool { return known.pool == pool })...)
-			r.Log.Info("A pool has targets of several versions.", "pool", pool, "versions", r.versions(pool, now), "streams", len(told))
+			begun := r.records.list(now, func(known record) bool { return known.pool == pool })
+			told = append(told, begun...)
+			r.Log.Info("A pool has targets of several versions.", "pool", pool, "versions", r.versions(pool, now), "streams", len(begun))
 		}
 	}
 	r.mu.Unlock()
@@ -110,17 +111,17 @@
 func (r *Registry) Begun(origin shelfshelf.StreamOrigin) {
 	r.mu.Lock()
 	now := r.Clock.Now()
-	told := toldRecord{StreamOrigin: origin}
+	told := sharedRecord{StreamOrigin: origin}
 	r.put(told, now)
 	mixed := len(r.versions(origin.Pool, now)) > 1
 	r.mu.Unlock()
 	if mixed {
-		r.tell([]toldRecord{told})
+		r.tell([]sharedRecord{told})
 	}
 }
 
 // put adds a record and logs if there is no room for it. The caller must hold r.mu.
-func (r *Registry) put(told toldRecord, now time.Time) {
+func (r *Registry) put(told sharedRecord, now time.Time) {
 	if r.records.put(told, now) || now.Sub(r.droppedAt) < dropLogInterval {
 		return
 	}
@@ -143,12 +144,12 @@
 }
 
 // tell sends records to their holders.
-func (r *Registry) tell(told []toldRecord) {
+func (r *Registry) tell(told []sharedRecord) {
 	if len(told) == 0 {
 		return
 	}
 	members := r.Members()
-	byHolder := make(map[netip.AddrPort][]toldRecord)
+	byHolder := make(map[netip.AddrPort][]sharedRecord)
 	for _, one := range told {
 		if len(one.Version) > maxVersionBytes {
 			continue
@@ -193,7 +194,7 @@
 	}
 }
 
-func (r *Registry) takeRecords(told []toldRecord) {
+func (r *Registry) takeRecords(told []sharedRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -272,7 +272,7 @@
 	for _, m := range []message{
 		{kind: kindAsk, id: 1, pool: "p"},
 		{kind: kindAnswer, id: 1, state: stateKnown, version: "v1", several: true},
-		{kind: kindTell, records: []toldRecord{{StreamOrigin: begun("x", "v1")}}},
+		{kind: kindTell, records: []sharedRecord{{StreamOrigin: begun("x", "v1")}}},
 	} {
 		content, err := encode(m)
 		if err != nil {
--- a/origin/wire.go
+++ b/origin/wire.go
@@ -49,7 +49,7 @@
 	kind kind
 	// id matches an answer with its question.
 	id      uint64
-	records []toldRecord
+	records []sharedRecord
 	key     shelfshelf.StreamKey
 	pool    shelfshelf.PoolName
 	state   state
@@ -123,10 +123,10 @@
 	return m, nil
 }
 
-func recordFromWire(w wireRecord) (toldRecord, error) {
-	var told toldRecord
+func recordFromWire(w wireRecord) (sharedRecord, error) {
+	var told sharedRecord
 	if len(w.Key) != len(told.Key) || len(w.Version) > maxVersionBytes || w.LifetimeMillis < 0 {
-		return toldRecord{}, eris.Errorf("decode a record of a stream: key of %d bytes, version of %d bytes, lifetime of %d ms", len(w.Key), len(w.Version), w.LifetimeMillis)
+		return sharedRecord{}, eris.Errorf("decode a record of a stream: key of %d bytes, version of %d bytes, lifetime of %d ms", len(w.Key), len(w.Version), w.LifetimeMillis)
 	}
 	copy(told.Key[:], w.Key)
 	told.Version = shelfshelf.TargetVersion(w.Version)
