origin: streams that are taken up wait for a read of the store within their time only

What callers would see: a stream that is taken up at an instance that has just started waits for another stream's read of the history of versions, or for a save, also beyond its own time limit and after its caller has left. Cause: loadOnce and save held a mutex over calls of the store. The wait for a mutex knows no context. In simulated time it also stops the clock, so that the store's answer never comes. Change: reads take turns by a channel, waited for within the limit of the read; a save takes no turn, since only one loop saves and what it shares has its own lock. Tests: TestTakeUpsWaitNoLongerThanTheirTimeForTheStore failed before ("a caller that left still waits for another one's read"), TestTakeUpsTogetherCostOneRead stood still before (ended after 40 s); both pass. Two cases of take-ups that come at once in TestStreamsTakenUpAfterFaultsGoOnAtTheirVersion; all cases of it that restart instances pass.

--- a/node/versions_faults_test.go
+++ b/node/versions_faults_test.go
@@ -80,6 +80,10 @@
 	"one version, all killed, callers that name no attempt": {
 		instances: 7, first: true, versions: []string{"v1"}, between: func(p *versioned) { p.restartAll(); time.Sleep(1500 * time.Millisecond) }, silent: true,
 	},
+	"one version, restarted in turn, callers that come at once and name no attempt": {
+		instances: 7, first: true, versions: []string{"v1"}, between: func(p *versioned) { p.restartInTurn(700*time.Millisecond, true) }, silent: true, together: true,
+	},
+	"all killed, callers that come at once": {instances: 7, between: func(p *versioned) { p.restartAll(); time.Sleep(1500 * time.Millisecond) }, together: true, least: nobodyKnows},
 	"one version, store away, callers that name no attempt": {
 		instances: 7, first: true, versions: []string{"v1"}, between: func(p *versioned) {
 			p.platform.SetFaults(fake.PlatformFaults{Busy: true})
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -73,6 +73,8 @@
 	again int
 	// silent callers don't tell which attempt brought the first event.
 	silent bool
+	// together says that all callers take their streams up at once.
+	together bool
 	// least is the share of the streams that has to go on; none means leastGoneOn.
 	least float64
 }
@@ -137,6 +139,9 @@
 	}
 	streams := p.begin(30, brokenAfter, at)
 	c.between(p)
+	if c.together {
+		p.apart = 0
+	}
 	for range c.again {
 		p.checkGoneOn(p.takeUp(streams, brokenAfter), len(streams), c.least)
 	}
--- a/node/versions_world_test.go
+++ b/node/versions_world_test.go
@@ -22,6 +22,8 @@
 	silent bool
 	// gone are the instances that callers don't come to.
 	gone map[int]bool
+	// apart is the time between the tries of two callers.
+	apart time.Duration
 
 	count int
 }
@@ -44,7 +46,7 @@
 
 // newVersioned lists four targets of each version.
 func newVersioned(l *large, versions ...string) *versioned {
-	p := &versioned{limited: newLimited(l, 0), gone: make(map[int]bool)}
+	p := &versioned{limited: newLimited(l, 0), gone: make(map[int]bool), apart: 15 * time.Millisecond}
 	p.release(versions...)
 	time.Sleep(2 * time.Second)
 	return p
@@ -225,11 +227,11 @@
 }
 
 // all does something for so many streams at once, each a little later than the one before.
-func all(streams []*taken, do func(s *taken)) {
+func (p *versioned) all(streams []*taken, do func(s *taken)) {
 	var callers sync.WaitGroup
 	for _, s := range streams {
 		callers.Go(func() { do(s) })
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(p.apart)
 	}
 	callers.Wait()
 }
@@ -240,7 +242,7 @@
 	for i := range streams {
 		streams[i] = &taken{began: p.clock.Now(), versions: make(map[string]bool)}
 	}
-	all(streams, func(s *taken) {
+	p.all(streams, func(s *taken) {
 		s.began = p.clock.Now()
 		if events == 0 {
 			// Read to the end or until it breaks off, which another try would hide.
@@ -265,7 +267,7 @@
 func (p *versioned) takeUp(streams []*taken, events int) int {
 	var mu sync.Mutex
 	goneOn := 0
-	all(streams, func(s *taken) {
+	p.all(streams, func(s *taken) {
 		before := s.last
 		p.try(s, p.pick(s.at), events)
 		mu.Lock()
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,8 @@
 	err     error
 	loads   int
 	saves   int
+	// loading is called by each read before it returns, if set.
+	loading func()
 }
 
 func (s *memoryStore) SaveVersions(_ context.Context, history shelfshelf.VersionHistory) error {
@@ -34,6 +37,9 @@
 
 func (s *memoryStore) LoadVersions(context.Context) (shelfshelf.VersionHistory, error) {
 	s.loads++
+	if s.loading != nil {
+		s.loading()
+	}
 	return s.history, s.err
 }
 
@@ -268,6 +274,76 @@
 	})
 }
 
+// restarted returns the only instance of a deployment that has just started, before targets of one version.
+func restarted(store *memoryStore) *Registry {
+	_, list := newGroup(1)
+	r := list[0]
+	r.LastHeard = func() time.Time { return time.Time{} }
+	r.Store = store
+	r.SetTargets(targetsOf("v1"))
+	return r
+}
+
+// A stream that was taken up while another one had the history of versions read waited for that read without end,
+// also after its caller had left.
+func TestTakeUpsWaitNoLongerThanTheirTimeForTheStore(t *testing.T) {
+	t.Parallel()
+	store := stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})
+	reached, answer := make(chan struct{}), make(chan struct{})
+	store.loading = func() {
+		close(reached)
+		<-answer
+	}
+	r := restarted(store)
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() {
+		_, err := r.find("a")
+		first <- err
+	}()
+	<-reached
+	go func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := r.Find(ctx, "c", "p", "b")
+		second <- err
+	}()
+	select {
+	case err := <-second:
+		if !errors.Is(err, shelfshelf.ErrOriginUnknown) {
+			t.Errorf("a caller that left: %v", err)
+		}
+	case <-time.After(10 * loadTimeout):
+		t.Error("a caller that left still waits for another one's read")
+	}
+	close(answer)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+}
+
+// Streams that are taken up together at an instance that has just started cost one read of the store.
+func TestTakeUpsTogetherCostOneRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 50
+		store := stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})
+		store.loading = func() { time.Sleep(loadTimeout / 3) }
+		r := restarted(store)
+		var callers sync.WaitGroup
+		for i := range streams {
+			callers.Go(func() {
+				found, err := r.find(shelfshelf.RequestID(fmt.Sprint(i)))
+				if err != nil || found.Version != "v1" {
+					t.Errorf("%d: %+v, %v", i, found, err)
+				}
+			})
+		}
+		callers.Wait()
+		if store.loads != 1 {
+			t.Errorf("%d reads", store.loads)
+		}
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, m := range []message{
 		{kind: kindAsk, id: 1, pool: "p"},
--- a/origin/saver.go
+++ b/origin/saver.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"sync"
 	"time"
 
 	"github.com/shelfshelf/shelfshelf"
@@ -27,13 +26,17 @@
 type saver struct {
 	changes chan struct{}
 
-	// mu is held while the history is read, so that streams that are taken up together cost one read.
-	mu       sync.Mutex
+	// reading holds a token while the history is read, so that streams that are taken up together cost one read.
+	// Unlike a mutex it can be waited for within a time limit. It protects the fields below.
+	reading  chan struct{}
 	loaded   bool
 	loadedAt time.Time
 }
 
-func (s *saver) init() { s.changes = make(chan struct{}, 1) }
+func (s *saver) init() {
+	s.changes = make(chan struct{}, 1)
+	s.reading = make(chan struct{}, 1)
+}
 
 // changed wakes the loop that saves.
 func (s *saver) changed() {
@@ -80,8 +83,6 @@
 func (r *Registry) save(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	r.saver.mu.Lock()
-	defer r.saver.mu.Unlock()
 	stored, err := r.Store.LoadVersions(ctx)
 	if err != nil && !errors.Is(err, shelfshelf.ErrNotFound) {
 		r.Log.Warn("Failed to load the history of versions.", "error", err)
@@ -115,10 +116,15 @@
 	})
 }
 
-// loadOnce reads the history that was saved before this instance started, unless it was read before.
+// loadOnce reads the history that was saved before this instance started, unless it was read before. It waits for
+// a read that is under way, as long as the context allows.
 func (s *saver) loadOnce(ctx context.Context, r *Registry) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	select {
+	case s.reading <- struct{}{}:
+		defer func() { <-s.reading }()
+	case <-ctx.Done():
+		return
+	}
 	now := r.Clock.Now()
 	if s.loaded || !s.loadedAt.IsZero() && now.Sub(s.loadedAt) < loadRetryDelay {
 		return
