origin: a data centre that is cut off doesn't take its one version for the only one

What callers would see: a data centre is cut off from the others and the store while a release goes on. Streams that began elsewhere at the new version are taken up there and go on at the old one, with events of both. Cause: an instance without a record of a stream took any one answer as a sign that a version that has just been listed would be known. Its neighbours answer too, and know as little. Once the others have been dropped from the list, all that are asked answer, so that counting answers alone wouldn't do. Change: without a record a stream goes on only if all that were asked answer, no instance that existed lately has fallen silent and the store was in contact since those would have been forgotten (25 s of 30); else the store has to answer a read now, which also brings the versions that others have listed. One read each 0.5 s an instance at most. That the others were last heard before the store no longer counts, so that LastHeard goes. TestOneListedVersionIsNotTheOnlyOne: its cases named when the others were last heard; they now say whose datagrams are lost, whether others fell silent and whether the store answers. All that had to be refused still are while the store is away, among them others of a build that doesn't answer; with the store answering that one goes on (a case of its own), since the versions are known then. Four cases of a data centre that is cut off are new.

--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -25,7 +25,7 @@
 	took := c.server.Clock.Now().Sub(began)
 	fields := []any{
 		"request", c.call.ID, "resumes", c.call.Resumes, "lastEvent", c.call.LastEventID, "pool", c.pool,
-		"asked", found.Asked, "answered", found.Answered, "took", took,
+		"asked", found.Asked, "answered", found.Answered, "storeAsked", found.StoreAsked, "storeAnswered", found.StoreAnswered, "took", took,
 	}
 	if err != nil {
 		c.server.Metrics.observeTakenUp("unknown", took)
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -228,17 +228,6 @@
 	return addresses
 }
 
-// LastHeard returns when the last message of another instance came; zero if none has.
-func (n *Node) LastHeard() time.Time {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var last time.Time
-	for _, p := range n.peers {
-		last = shelfshelf.Later(last, p.lastSeen)
-	}
-	return last
-}
-
 // IsLocalAddress reports whether an address belongs to another instance of this data centre.
 func (n *Node) IsLocalAddress(address string) bool {
 	n.mu.Lock()
--- a/node/origins.go
+++ b/node/origins.go
@@ -21,7 +21,7 @@
 	n.origins = &origin.Registry{
 		Clock: n.Clock, Log: n.Log.WithPrefix("origin"), Self: address, DataCentre: n.Settings.DataCentre,
 		Members: n.gossip.MembersByDataCentre, Send: n.gossip.SendDatagram, StoreContact: n.storeContact,
-		LastHeard: n.gossip.LastHeard, StreamTime: n.streamTime,
+		AllLive: n.allLive, StreamTime: n.streamTime,
 		Store: n.Platform.Versions, IsSaver: n.leads, FirstStart: n.Settings.FirstStart,
 	}
 	n.origins.Init()
@@ -35,6 +35,12 @@
 	return at
 }
 
+// allLive reports whether no instance that existed lately has fallen silent.
+func (n *Node) allLive() bool {
+	census := n.gossip.Census()
+	return census.Live == census.Known && census.Unheard == 0
+}
+
 // streamTime returns for how long streams and their take-ups last at most.
 func (n *Node) streamTime() time.Duration {
 	return max(leastStreamTime, time.Duration(n.longestStream.Load()))
--- a/node/versions_faults_test.go
+++ b/node/versions_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -47,15 +48,34 @@
 	p.begin(10, brokenAfter, func() int { return p.pick(-1) })
 }
 
-// cutFromOthers cuts an instance off from all others and from the store, not from targets and callers; callers
-// come to it alone from then on.
-func (p *versioned) cutFromOthers(cut int) {
-	inside := map[string]bool{"10.200.0.1": true}
+// storeMachine is where the store runs.
+const storeMachine = "10.200.0.1"
+
+// cutFromOthers cuts instances off from all others and from the store, not from each other, targets and callers.
+// Callers come to them alone from then on.
+func (p *versioned) cutFromOthers(cut ...int) {
+	p.cutOutside(cut)
+	p.onlyTo(func(i int) bool { return slices.Contains(cut, i) })
+}
+
+// cutOutside cuts the links from instances to all others and to the store.
+func (p *versioned) cutOutside(cut []int) {
+	inside, outside := make(map[string]bool), map[string]bool{storeMachine: true}
+	for i := range p.instances {
+		if slices.Contains(cut, i) {
+			inside[machineOf(i)] = true
+		} else {
+			outside[machineOf(i)] = true
+		}
+	}
+	p.network.CutLinks(fake.LinkFault{}, func(from, to string) bool { return inside[from] && outside[to] })
+}
+
+// onlyTo has callers come only to the instances that a condition accepts.
+func (p *versioned) onlyTo(accepts func(i int) bool) {
 	for i := range p.instances {
-		inside[machineOf(i)] = true
-		p.gone[i] = i != cut
+		p.setGone(i, !accepts(i))
 	}
-	p.network.CutLinks(fake.LinkFault{}, func(from, to string) bool { return from == machineOf(cut) && inside[to] })
 }
 
 // takeUpFaultCases are cases of what fails between the beginning of streams and their being taken up.
@@ -139,6 +159,44 @@
 	}
 }
 
+// A data centre that is cut off from the others and the store doesn't learn of a version that is listed then. Its
+// instances answer each other, which they took for being in touch.
+func TestStreamsOfVersionsThatADataCentreDoesNotListEnd(t *testing.T) {
+	for _, instances := range []int{13, 85, 300} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d instances, silent %v", instances, silent), func(t *testing.T) {
+				t.Parallel()
+				playLarge(t, instances, true, func(l *large) {
+					p := newVersioned(l, "v1")
+					p.silent = silent
+					cut := func(i int) bool { return centreOf(i) == "dc0" }
+					p.cutOutside(p.numbers(cut))
+					p.onlyTo(func(i int) bool { return !cut(i) })
+					p.release("v2")
+					time.Sleep(1200 * time.Millisecond)
+					p.drain("v1")
+					time.Sleep(300 * time.Millisecond)
+					streams := p.begin(30, brokenAfter, func() int { return p.pick(-1) })
+					p.onlyTo(cut)
+					p.takeUp(streams, 0)
+					p.checkMixed(streams)
+				})
+			})
+		}
+	}
+}
+
+// numbers returns the instances that a condition accepts.
+func (p *versioned) numbers(accepts func(i int) bool) []int {
+	var list []int
+	for i := range p.instances {
+		if accepts(i) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // Callers take up streams that never began, by the hundred, while others take up theirs.
 func TestTakeUpsOfStreamsThatNeverBeganKeepNobodyAway(t *testing.T) {
 	playLarge(t, 7, false, func(l *large) {
--- a/origin/find.go
+++ b/origin/find.go
@@ -12,11 +12,9 @@
 	// answerTimeout is how long the instances that were asked have to answer; it usually takes a few
 	// milliseconds. The caller of a stream waits for two such rounds at most.
 	answerTimeout = 60 * time.Millisecond
-	// maxContactAge is how long ago the store may have answered an instance that goes by that alone: who reads
-	// it has its configuration confirmed every second, as of the second before.
-	maxContactAge = 2500 * time.Millisecond
-	// loadTimeout bounds the read of the history of versions for a stream that is taken up.
-	loadTimeout = 300 * time.Millisecond
+	// maxContactAge is how long ago the store may have been in contact with an instance that goes by the others'
+	// answers: less than the 30 s after which silent instances no longer count as existing.
+	maxContactAge = 25 * time.Second
 )
 
 // search is one look-up of a stream.
@@ -84,10 +82,9 @@
 type waitMode uint8
 
 const (
-	// allAnswers waits until all have answered, firstRecord until one has a record, and firstAnswer for the first.
+	// allAnswers waits until all have answered, and firstRecord until one has a record.
 	allAnswers waitMode = iota
 	firstRecord
-	firstAnswer
 )
 
 // ask asks instances and collects their answers.
@@ -118,7 +115,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if mode == firstAnswer || mode == firstRecord && s.known != stateNone {
+		if mode == firstRecord && s.known != stateNone {
 			return
 		}
 	}
@@ -142,10 +139,10 @@
 }
 
 // onlyVersion returns the version at which the stream must have begun because the pool has had no other. That
-// isn't known while this instance is cut off, nor soon after its start without the history in the store.
+// isn't known while this instance may be cut off, nor soon after its start without the history in the store.
 func (s *search) onlyVersion(ctx context.Context) (shelfshelf.TargetVersion, bool) {
 	r := s.registry
-	if s.several || !s.current(ctx) || s.several || !r.historyKnown(ctx) {
+	if s.several || !s.inTouch(ctx) || s.several || !s.historyKnown(ctx) {
 		return "", false
 	}
 	r.mu.Lock()
@@ -157,31 +154,33 @@
 	return versions[0], true
 }
 
-// current reports whether a version that has just been listed would be known here, or to one that was asked: new
-// versions reach all instances within some 0.3 s. If nobody answers, the others may be gone or this instance may
-// be cut off. It isn't if the store has answered it since the others were last heard.
-func (s *search) current(ctx context.Context) bool {
+// inTouch reports whether a version that has just been listed would be known here or to an instance that was
+// asked: new versions reach all instances within some 0.3 s. The answers of some don't show it, since a whole data
+// centre may be cut off. They do if all answer and none has fallen silent; else the store has to answer.
+func (s *search) inTouch(ctx context.Context) bool {
 	r := s.registry
 	if s.found.Asked == 0 {
-		s.ask(ctx, r.rank(s.key, r.Members(), holderDepth).holders(r.Self), firstAnswer)
+		s.ask(ctx, r.rank(s.key, r.Members(), holderDepth).holders(r.Self), allAnswers)
 	}
-	if s.found.Answered > 0 {
+	contactAge := r.Clock.Now().Sub(r.StoreContact())
+	if s.found.Answered == s.found.Asked && r.AllLive() && contactAge <= maxContactAge {
 		return true
 	}
-	contact := r.StoreContact()
-	return contact.After(r.LastHeard()) && r.Clock.Now().Sub(contact) <= maxContactAge
+	return s.readStore(ctx)
 }
 
 // historyKnown reports whether all versions are known that were listed for as long as streams last, and reads
 // the history in the store if this instance has not been running for so long.
-func (r *Registry) historyKnown(ctx context.Context) bool {
-	if r.knowsHistory() {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	r.saver.loadOnce(ctx, r)
-	return r.knowsHistory()
+func (s *search) historyKnown(ctx context.Context) bool {
+	r := s.registry
+	return r.knowsHistory() || s.readStore(ctx) && r.knowsHistory()
+}
+
+// readStore has the history of versions read, and reports whether the store answers.
+func (s *search) readStore(ctx context.Context) bool {
+	s.found.StoreAsked = true
+	s.found.StoreAnswered = s.registry.readHistory(ctx)
+	return s.found.StoreAnswered
 }
 
 func (r *Registry) knowsHistory() bool {
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -27,10 +27,10 @@
 	Members func() map[shelfshelf.DataCentre][]shelfshelf.Member
 	// Send sends a datagram, which may be lost.
 	Send func(to netip.AddrPort, content []byte)
-	// StoreContact returns when the store last showed that this instance reaches it, itself or through others,
-	// and LastHeard when another instance was last heard; zero if never.
+	// StoreContact returns when the store last showed that this instance reaches it, itself or through others.
 	StoreContact func() time.Time
-	LastHeard    func() time.Time
+	// AllLive reports whether no instance that existed lately has fallen silent.
+	AllLive func() bool
 	// StreamTime returns for how long a stream and its take-ups last at most.
 	StreamTime func() time.Duration
 	// Store keeps the history of versions. IsSaver reports whether this instance is in charge of saving it.
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -66,7 +66,7 @@
 			Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), DataCentre: centre,
 			Self:         netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7600),
 			Members:      func() map[shelfshelf.DataCentre][]shelfshelf.Member { return g.members },
-			StoreContact: time.Now, LastHeard: time.Now, StreamTime: func() time.Duration { return 30 * time.Second },
+			StoreContact: time.Now, AllLive: func() bool { return true }, StreamTime: func() time.Duration { return 30 * time.Second },
 			Store: &memoryStore{err: shelfshelf.ErrNotFound}, IsSaver: func() bool { return i == 0 },
 		}
 		r.Send = func(to netip.AddrPort, content []byte) { g.send(r.Self, to, content) }
@@ -168,36 +168,47 @@
 
 // An instance that has just started, or is cut off, doesn't take the one version that it knows for the only one.
 func TestOneListedVersionIsNotTheOnlyOne(t *testing.T) {
+	away := &memoryStore{err: shelfshelf.ErrUnavailable}
+	oneVersion := stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})
 	synctest.Test(t, func(t *testing.T) {
 		for name, c := range map[string]struct {
 			running time.Duration
-			cut     bool
-			heard   time.Duration
+			// cut are the instances whose datagrams are lost; the one that is asked is number 0.
+			cut []int
+			// fallen says that others have fallen silent.
+			fallen  bool
 			contact time.Duration
 			stored  *memoryStore
 			want    bool
 		}{
-			"started now, nothing stored":           {stored: &memoryStore{err: shelfshelf.ErrNotFound}},
-			"started now, store away":               {stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
-			"started now, another one gone":         {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": 5 * time.Second})},
-			"started now, another one long":         {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": time.Minute}), want: true},
-			"started now, stored lately":            {stored: stored(time.Second, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})},
-			"started now, one version":              {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0}), want: true},
-			"running long":                          {running: time.Minute, stored: &memoryStore{err: shelfshelf.ErrUnavailable}, want: true},
-			"running long, cut off just now":        {running: time.Minute, cut: true, heard: 0, contact: time.Second, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
-			"running long, cut off for some time":   {running: time.Minute, cut: true, heard: 3 * time.Second, contact: 4 * time.Second, stored: &memoryStore{err: shelfshelf.ErrUnavailable}},
-			"the others gone, store answers":        {running: time.Minute, cut: true, heard: 3 * time.Second, contact: time.Second, want: true},
-			"the others gone, store away since":     {running: time.Minute, cut: true, heard: 9 * time.Second, contact: 5 * time.Second},
-			"others of a build that doesn't answer": {running: time.Minute, cut: true, heard: 0, contact: time.Second},
+			"started now, nothing stored":                       {stored: &memoryStore{err: shelfshelf.ErrNotFound}},
+			"started now, store away":                           {stored: away},
+			"started now, another one gone":                     {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": 5 * time.Second})},
+			"started now, another one long":                     {stored: stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v0": time.Minute}), want: true},
+			"started now, stored lately":                        {stored: stored(time.Second, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})},
+			"started now, one version":                          {stored: oneVersion, want: true},
+			"running long":                                      {running: time.Minute, stored: away, want: true},
+			"running long, store away too long":                 {running: time.Minute, contact: 31 * time.Second, stored: away},
+			"running long, cut off just now":                    {running: time.Minute, cut: []int{0}, contact: time.Second, stored: away},
+			"running long, cut off for some time":               {running: time.Minute, cut: []int{0}, fallen: true, contact: 4 * time.Second, stored: away},
+			"the others gone, store answers":                    {running: time.Minute, cut: []int{0}, fallen: true, contact: time.Second, stored: oneVersion, want: true},
+			"the others gone, store away since":                 {running: time.Minute, cut: []int{0}, fallen: true, contact: 5 * time.Second, stored: away},
+			"others of a build that doesn't answer":             {running: time.Minute, cut: []int{0}, contact: time.Second, stored: away},
+			"others of a build that doesn't answer, store does": {running: time.Minute, cut: []int{0}, contact: time.Second, stored: oneVersion, want: true},
+			"its data centre cut off just now":                  {running: time.Minute, cut: []int{1, 3, 5}, contact: time.Second, stored: away},
+			"its data centre cut off, store answers":            {running: time.Minute, cut: []int{1, 3, 5}, fallen: true, contact: time.Second, stored: oneVersion, want: true},
+			"all that are left answer, store away":              {running: time.Minute, fallen: true, contact: time.Second, stored: away},
 		} {
 			g, list := newGroup(7)
 			r := list[0]
 			r.Store = c.stored
 			r.StoreContact = func() time.Time { return time.Now().Add(-c.contact) }
-			r.LastHeard = func() time.Time { return time.Now().Add(-c.heard) }
+			r.AllLive = func() bool { return !c.fallen }
 			setAll(list, "v1")
 			time.Sleep(c.running)
-			g.lost[r.Self] = c.cut
+			for _, i := range c.cut {
+				g.lost[list[i].Self] = true
+			}
 			if found, err := r.find(""); (err == nil) != c.want {
 				t.Errorf("%s: %+v, %v", name, found, err)
 			}
@@ -278,7 +289,6 @@
 func restarted(store *memoryStore) *Registry {
 	_, list := newGroup(1)
 	r := list[0]
-	r.LastHeard = func() time.Time { return time.Time{} }
 	r.Store = store
 	r.SetTargets(targetsOf("v1"))
 	return r
@@ -312,7 +322,7 @@
 		if !errors.Is(err, shelfshelf.ErrOriginUnknown) {
 			t.Errorf("a caller that left: %v", err)
 		}
-	case <-time.After(10 * loadTimeout):
+	case <-time.After(10 * readTimeout):
 		t.Error("a caller that left still waits for another one's read")
 	}
 	close(answer)
@@ -326,7 +336,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const streams = 50
 		store := stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0})
-		store.loading = func() { time.Sleep(loadTimeout / 3) }
+		store.loading = func() { time.Sleep(readTimeout / 3) }
 		r := restarted(store)
 		var callers sync.WaitGroup
 		for i := range streams {
--- a/origin/saver.go
+++ b/origin/saver.go
@@ -18,8 +18,10 @@
 	saveInterval  = time.Second
 	// saveTimeout bounds a call of the store.
 	saveTimeout = 500 * time.Millisecond
-	// loadRetryDelay is the least time between two reads of the history.
-	loadRetryDelay = 500 * time.Millisecond
+	// readTimeout bounds a read of the history for streams that are taken up, and readInterval is the least time
+	// between the beginnings of two, so that take-ups by the hundred don't load the store.
+	readTimeout  = 300 * time.Millisecond
+	readInterval = 500 * time.Millisecond
 )
 
 // saver keeps the history of versions in the store.
@@ -28,9 +30,10 @@
 
 	// reading holds a token while the history is read, so that streams that are taken up together cost one read.
 	// Unlike a mutex it can be waited for within a time limit. It protects the fields below.
-	reading  chan struct{}
-	loaded   bool
-	loadedAt time.Time
+	reading chan struct{}
+	// readAt is when the last read began, and answered says that the store answered it.
+	readAt   time.Time
+	answered bool
 }
 
 func (s *saver) init() {
@@ -116,26 +119,34 @@
 	})
 }
 
-// loadOnce reads the history that was saved before this instance started, unless it was read before. It waits for
-// a read that is under way, as long as the context allows.
-func (s *saver) loadOnce(ctx context.Context, r *Registry) {
+// readHistory has the history in the store read, unless that was done within readInterval, and reports whether the
+// store answered. It waits for a read that is under way, as long as the context allows.
+func (r *Registry) readHistory(ctx context.Context) bool {
+	s := &r.saver
 	select {
 	case s.reading <- struct{}{}:
 		defer func() { <-s.reading }()
 	case <-ctx.Done():
-		return
+		return false
 	}
 	now := r.Clock.Now()
-	if s.loaded || !s.loadedAt.IsZero() && now.Sub(s.loadedAt) < loadRetryDelay {
-		return
+	if s.readAt.IsZero() || now.Sub(s.readAt) >= readInterval {
+		s.readAt = now
+		s.answered = r.loadHistory(context.WithoutCancel(ctx))
 	}
-	s.loadedAt = now
+	return s.answered
+}
+
+// loadHistory reads the history in the store, which others may wait for too.
+func (r *Registry) loadHistory(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	stored, err := r.Store.LoadVersions(ctx)
 	if err != nil && !errors.Is(err, shelfshelf.ErrNotFound) {
 		r.Log.Warn("Failed to load the history of versions.", "error", err)
-		return
+		return false
 	}
-	s.loaded = true
 	r.mergeStored(stored)
 	r.Log.Info("Loaded the history of versions.", "pools", len(stored.Pools), "knownFor", stored.KnownFor)
+	return true
 }
--- a/streamorigin.go
+++ b/streamorigin.go
@@ -65,6 +65,9 @@
 	// Asked and Answered count the other instances that were asked, and those that answered.
 	Asked    int
 	Answered int
+	// StoreAsked says that the history of versions in the store was needed, StoreAnswered that the store answered.
+	StoreAsked    bool
+	StoreAnswered bool
 }
 
 // StreamOrigins remembers at which versions streams began. It is safe for concurrent use.
