origin: a version that the store still lists counts as listed until now, not until this instance started

What callers would see: an instance that has been running for over 30 s and is cut off from the others reads in the store that a second version is listed, and goes on with streams at its own one all the same. Cause: such a version was dated at the start of the instance, since the history was read soon after the start only. Since instances read it whenever others don't answer, a start over 30 s ago put the version among those long gone. Evidence: case "a new version in the store only" of TestOneListedVersionIsNotTheOnlyOne failed before (went on at v1, storeAnswered true); now refused. The tests of origin pass. Cost: a row that is out of date keeps streams without a record from going on for up to 30 s from the read, not from the start.

--- a/origin/history.go
+++ b/origin/history.go
@@ -64,16 +64,12 @@
 	return versions
 }
 
-// merge adds what was known before this instance started.
-func (h *history) merge(loaded shelfshelf.VersionHistory, started, now time.Time) {
+// merge adds what others know. A version that they still list may not have reached this instance yet, and counts
+// as listed until now.
+func (h *history) merge(loaded shelfshelf.VersionHistory, now time.Time) {
 	for pool, versions := range loaded.Pools {
 		for version, age := range versions {
-			at := now.Add(-age)
-			if age == 0 {
-				// It may have gone at any moment since.
-				at = started
-			}
-			h.seen(pool, version, at)
+			h.seen(pool, version, now.Add(-age))
 		}
 	}
 	if since := now.Add(-loaded.KnownFor); since.Before(h.knownSince) {
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -40,7 +40,6 @@
 	FirstStart bool
 
 	mu      sync.Mutex
-	started time.Time
 	records records
 	history history
 	// questions holds the channels that wait for answers, by the IDs of the questions.
@@ -52,8 +51,7 @@
 
 // Init prepares the registry; it comes before all other methods.
 func (r *Registry) Init() {
-	r.started = r.Clock.Now()
-	r.history.knownSince = r.started
+	r.history.knownSince = r.Clock.Now()
 	if r.FirstStart {
 		r.history.knownSince = time.Time{}
 	}
--- a/origin/saver.go
+++ b/origin/saver.go
@@ -108,7 +108,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	r.history.merge(stored, r.started, now)
+	r.history.merge(stored, now)
 	return r.history.export(now.Add(-r.StreamTime()), now)
 }
 
