origin: others are told of earlier streams also where the store names the second version first

What callers would see: streams that began at an instance before the second version was listed end when it is killed or cut off, though others could have known of them. Cause: others are told when a change of the list of targets gives a pool its second version. Where the instance had read of that version in the store before, the list changed nothing any more. Now that the store is read whenever others don't answer, that happens. Change: whatever changes the history, a list or a read, tells others in the same way. Evidence: TestStreamsThatBeganBeforeTheStoreNamesTheSecondVersionAreTold failed before (5 others answered, none knew the stream); now it goes on.

--- a/origin/registry.go
+++ b/origin/registry.go
@@ -61,27 +61,33 @@
 	r.saver.init()
 }
 
-// SetTargets takes the targets that are listed now. Once a pool has targets of a second version, others are
-// told of the streams that began here when it had one.
+// SetTargets takes the targets that are listed now.
 func (r *Registry) SetTargets(targets []shelfshelf.Target) {
 	r.mu.Lock()
 	now := r.Clock.Now()
+	changed := false
+	told := r.changeHistory(now, func() { changed = r.history.set(targets, now) })
+	r.mu.Unlock()
+	if changed {
+		r.saver.changed()
+	}
+	r.tell(told)
+}
+
+// changeHistory changes the history and returns the records of the streams that others have to be told of, because
+// their pools have come to have several versions by it. The caller must hold r.mu.
+func (r *Registry) changeHistory(now time.Time, change func()) []sharedRecord {
 	before := r.mixedPools(now)
-	changed := r.history.set(targets, now)
-	after := r.mixedPools(now)
+	change()
 	var told []sharedRecord
-	for pool := range after {
+	for pool := range r.mixedPools(now) {
 		if !before[pool] {
 			begun := r.records.list(now, func(known record) bool { return known.pool == pool })
 			told = append(told, begun...)
 			r.Log.Info("A pool has targets of several versions.", "pool", pool, "versions", r.versions(pool, now), "streams", len(begun))
 		}
 	}
-	r.mu.Unlock()
-	if changed {
-		r.saver.changed()
-	}
-	r.tell(told)
+	return told
 }
 
 // mixedPools returns the pools that have targets of several versions, or had them a short time ago. The caller
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -166,6 +166,27 @@
 	})
 }
 
+// An instance that learns of a second version from the store, before that is listed here, didn't tell others of the
+// streams that had begun before.
+func TestStreamsThatBeganBeforeTheStoreNamesTheSecondVersionAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, list := newGroup(7)
+		setAll(list, "v1")
+		r := list[3]
+		r.Begun(begun("early", "v1"))
+		r.Store = stored(time.Hour, map[shelfshelf.TargetVersion]time.Duration{"v1": 0, "v2": 0})
+		r.AllLive = func() bool { return false }
+		if found, err := r.find(""); !errors.Is(err, shelfshelf.ErrOriginUnknown) {
+			t.Errorf("%+v, %v", found, err)
+		}
+		setAll(list, "v1", "v2")
+		g.lost[r.Self] = true
+		if found, err := list[5].find("early"); err != nil || found.Version != "v1" {
+			t.Errorf("%+v, %v", found, err)
+		}
+	})
+}
+
 // An instance that has just started, or is cut off, doesn't take the one version that it knows for the only one.
 func TestOneListedVersionIsNotTheOnlyOne(t *testing.T) {
 	away := &memoryStore{err: shelfshelf.ErrUnavailable}
--- a/origin/saver.go
+++ b/origin/saver.go
@@ -106,10 +106,12 @@
 // mergeStored takes what the store has, and returns all that is known.
 func (r *Registry) mergeStored(stored shelfshelf.VersionHistory) shelfshelf.VersionHistory {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	r.history.merge(stored, now)
-	return r.history.export(now.Add(-r.StreamTime()), now)
+	told := r.changeHistory(now, func() { r.history.merge(stored, now) })
+	merged := r.history.export(now.Add(-r.StreamTime()), now)
+	r.mu.Unlock()
+	r.tell(told)
+	return merged
 }
 
 // sameVersions reports whether two histories have the same versions, of which the same are still listed.
