origin: a change of versions is saved once the store is back, however long it was away

What callers would see: after an outage of the store of over 5 s during a release, and a restart of all instances within some 30 s of it, streams are refused, or a version that came and went in between is unknown. Cause: an instance gave up saving a change of versions after 5 s, until the next change. Change: the instance in charge goes on trying each second until the store has it; the others watch until the store has been in contact for 5 s after the change, so that one of them takes over from one that stops meanwhile. Evidence: TestHistoryIsSavedOnceTheStoreIsBack (20 s of outage, the one in charge stops) failed before with 0 saves; now 1.

--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -309,6 +309,50 @@
 	})
 }
 
+// outageStore is a store that answers nothing until a moment.
+type outageStore struct {
+	memoryStore
+	until time.Time
+}
+
+func (s *outageStore) LoadVersions(ctx context.Context) (shelfshelf.VersionHistory, error) {
+	if time.Now().Before(s.until) {
+		return shelfshelf.VersionHistory{}, shelfshelf.ErrUnavailable
+	}
+	return s.memoryStore.LoadVersions(ctx)
+}
+
+// A change of versions that the store didn't take within some seconds was never saved. The instance in charge stops
+// as the store comes back.
+func TestHistoryIsSavedOnceTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		_, list := newGroup(2)
+		began := time.Now()
+		store := &outageStore{memoryStore: memoryStore{err: shelfshelf.ErrNotFound}, until: began.Add(20 * time.Second)}
+		away := func() bool { return time.Now().Before(store.until) }
+		var loops sync.WaitGroup
+		for i, r := range list {
+			r.Store = store
+			r.IsSaver = func() bool { return (i == 0) == away() }
+			r.StoreContact = func() time.Time {
+				if away() {
+					return began
+				}
+				return time.Now()
+			}
+			loops.Go(func() { _ = r.Run(ctx) })
+		}
+		setAll(list, "v1", "v2")
+		time.Sleep(22 * time.Second)
+		cancel()
+		loops.Wait()
+		if store.saves != 1 || len(store.history.Pools["p"]) != 2 {
+			t.Errorf("%d saves, %v", store.saves, store.history)
+		}
+	})
+}
+
 // restarted returns the only instance of a deployment that has just started, before targets of one version.
 func restarted(store *memoryStore) *Registry {
 	_, list := newGroup(1)
--- a/origin/saver.go
+++ b/origin/saver.go
@@ -12,8 +12,9 @@
 const (
 	// saveDelay gathers versions that are listed together into one write.
 	saveDelay = 100 * time.Millisecond
-	// saveWatchTime is how long after a change an instance checks whether it has come to be in charge of
-	// saving, because the one in charge may have stopped. saveInterval is the time between two checks.
+	// saveWatchTime is for how long after a change, while the store answers, an instance checks whether it has come
+	// to be in charge of saving, because the one in charge may have stopped. saveInterval is the time between two
+	// checks, and between two tries of the one in charge.
 	saveWatchTime = 5 * time.Second
 	saveInterval  = time.Second
 	// saveTimeout bounds a call of the store.
@@ -67,16 +68,22 @@
 
 // saveWhileWatching saves a change once this instance is in charge of it, or leaves it to the one that is.
 func (r *Registry) saveWhileWatching(ctx context.Context) {
-	end := r.Clock.Now().Add(saveWatchTime)
+	changedAt := r.Clock.Now()
 	pause := saveDelay
-	for r.Clock.Now().Before(end) {
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.Clock.After(pause):
 		}
 		pause = saveInterval
-		if r.IsSaver() && r.save(ctx) {
+		if r.IsSaver() {
+			if r.save(ctx) {
+				return
+			}
+			continue
+		}
+		if r.StoreContact().Sub(changedAt) >= saveWatchTime {
 			return
 		}
 	}
