--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -149,6 +149,9 @@
 		if found, err := list[4].find(""); err != nil || found.Version != "v1" || g.sent != 2*found.Asked {
 			t.Errorf("%+v, %v, %d datagrams", found, err, g.sent)
 		}
+		if loads := list[4].Store.(*memoryStore).loads; loads != 0 {
+			t.Errorf("%d reads of the store on a calm day", loads)
+		}
 		g.sent, g.bytes = 0, 0
 		setAll(list, "v1", "v2")
 		t.Logf("%d datagrams of %d bytes for 50 streams", g.sent, g.bytes/max(g.sent, 1))
