--- a/origin/find.go
+++ b/origin/find.go
@@ -142,13 +142,14 @@
 // isn't known while this instance may be cut off, nor soon after its start without the history in the store.
 func (s *search) onlyVersion(ctx context.Context) (shelfshelf.TargetVersion, bool) {
 	r := s.registry
-	if s.several || !s.inTouch(ctx) || s.several || !s.historyKnown(ctx) {
+	if s.several || !s.inTouch(ctx) || !s.historyKnown(ctx) {
 		return "", false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	versions := r.versions(s.pool, r.Clock.Now())
-	if len(versions) != 1 {
+	// inTouch may have heard of several from others.
+	if s.several || len(versions) != 1 {
 		return "", false
 	}
 	return versions[0], true
