--- a/node/versions_series_test.go
+++ b/node/versions_series_test.go
@@ -23,9 +23,8 @@
 // series is a play of faults that a seed draws, beside releases and callers that take streams up.
 type series struct {
 	*versioned
-	// draws are of the faults alone, so that a seed's faults stay as they are.
-	draws *rand.Rand
-	end   time.Time
+	// end is when the last fault may begin.
+	end time.Time
 	// downMu protects down, the instances that are being restarted.
 	downMu sync.Mutex
 	down   map[int]bool
@@ -44,11 +43,12 @@
 }
 
 func playSeries(p *versioned, seed uint64) {
-	s := &series{versioned: p, draws: rand.New(rand.NewPCG(seed, 1)), end: p.clock.Now().Add(seriesTime), down: make(map[int]bool)}
+	s := &series{versioned: p, end: p.clock.Now().Add(seriesTime), down: make(map[int]bool)}
 	counts := &releaseCounts{}
 	var faults, callers sync.WaitGroup
-	for _, loop := range []func(draws *rand.Rand){s.releaseLoop, s.restartLoop, s.cutLoop, s.storeLoop, s.breakOffLoop} {
-		draws := rand.New(rand.NewPCG(s.draws.Uint64(), s.draws.Uint64()))
+	// Each kind of fault has draws of its own, so that a seed draws the same ones whatever the others do.
+	for i, loop := range []func(draws *rand.Rand){s.releaseLoop, s.restartLoop, s.cutLoop, s.storeLoop, s.breakOffLoop} {
+		draws := rand.New(rand.NewPCG(seed, uint64(i)))
 		faults.Go(func() { loop(draws) })
 	}
 	for number := 0; p.clock.Now().Before(s.end); number++ {
