--- a/node/versions_series_test.go
+++ b/node/versions_series_test.go
@@ -90,7 +90,7 @@
 // retire ends a target, which mostly says before that it drains.
 func (s *series) retire(name string, silent bool) {
 	if !silent {
-		s.listVersion(name, "draining")
+		s.sayDraining(name)
 		time.Sleep(2500 * time.Millisecond)
 	}
 	s.platform.Drop("servers", name)
@@ -101,6 +101,13 @@
 	end()
 }
 
+// sayDraining has a target say that it leaves.
+func (p *versioned) sayDraining(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listVersion(name, "draining")
+}
+
 // endOf returns what ends a target's process.
 func (p *versioned) endOf(name string) func() {
 	p.mu.Lock()
