origin: versions that have been gone for an hour are forgotten

Change: a change of the list forgets those that were last listed an hour ago; streams last some 30 s. Evidence: TestVersionsThatAreGoneForLongAreForgotten (1,000 releases, one a minute) failed before with 1,000 kept; now 61 at most. An hour is chosen.

--- a/origin/history.go
+++ b/origin/history.go
@@ -6,6 +6,9 @@
 	"github.com/shelfshelf/shelfshelf"
 )
 
+// forgetAfter is how long after a version was last listed it is forgotten: far longer than streams last.
+const forgetAfter = time.Hour
+
 // history tells which versions each pool's targets ran, and since when that is known. It is protected by
 // Registry.mu.
 type history struct {
@@ -39,9 +42,24 @@
 		}
 	}
 	h.listed = listed
+	h.forget(now)
 	return changed
 }
 
+// forget removes the versions that have been gone for long.
+func (h *history) forget(now time.Time) {
+	for pool, versions := range h.lastListed {
+		for version, at := range versions {
+			if !h.listed[pool][version] && now.Sub(at) >= forgetAfter {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(h.lastListed, pool)
+		}
+	}
+}
+
 // seen notes that a version was listed at a moment.
 func (h *history) seen(pool shelfshelf.PoolName, version shelfshelf.TargetVersion, at time.Time) {
 	if h.lastListed == nil {
--- a/origin/saver_test.go
+++ b/origin/saver_test.go
@@ -67,6 +67,24 @@
 	})
 }
 
+// Versions that are gone are remembered for as long as streams of theirs may be taken up, not for ever.
+func TestVersionsThatAreGoneForLongAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, list := newGroup(1)
+		r := list[0]
+		for i := range 1000 {
+			r.SetTargets(targetsOf(shelfshelf.TargetVersion(fmt.Sprint("v", i))))
+			time.Sleep(time.Minute)
+		}
+		if most, kept := int(forgetAfter/time.Minute)+1, len(r.history.lastListed["p"]); kept > most {
+			t.Errorf("%d versions are kept", kept)
+		}
+		if versions := r.versions("p", time.Now()); len(versions) != 1 {
+			t.Errorf("streams may have begun at %v", versions)
+		}
+	})
+}
+
 // outageStore is a store that answers nothing until a moment.
 type outageStore struct {
 	memoryStore
