balance, gateway: a refusal tells how many targets had room that were not asked

Needed to tell whether requests are refused for a shortage or for the choice of engines. No decision changes.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -63,6 +63,10 @@
 type Refusal struct {
 	Reason     shelfshelf.RefusalReason
 	RetryAfter time.Duration
+	// SlotRequests is how many owners were asked for a slot, and UnaskedWithRoom how many other targets had
+	// room then, as far as this instance knew.
+	SlotRequests    int
+	UnaskedWithRoom int
 }
 
 // Error returns the reason.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -104,7 +104,12 @@
 // always false for owner-only targets: if each of 85 instances sent one request within 4 s, the
 // target would get 85.
 func (t *targetState) assignable(need Need, now time.Time) bool {
-	return !t.ownerOnly() && t.available(need, now) && t.load(now).requests < t.slotLimit(need)
+	return !t.ownerOnly() && t.available(need, now) && t.hasRoom(need, now)
+}
+
+// hasRoom reports whether a target would take a request at once, as far as this instance knows.
+func (t *targetState) hasRoom(need Need, now time.Time) bool {
+	return t.load(now).requests < t.slotLimit(need)
 }
 
 // slotLimit is how many requests a target may have in flight, including this one. An engine
--- a/balance/owners.go
+++ b/balance/owners.go
@@ -238,11 +238,37 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-timeout:
-			return nil, &Refusal{Reason: shelfshelf.RefusedShed, RetryAfter: a.retryAfter()}
+			return nil, a.refusal()
 		}
 	}
 }
 
+// refusal is the error for a request that none of the owners asked has granted a slot.
+func (a *ownerAcquisition) refusal() *Refusal {
+	return &Refusal{
+		Reason: shelfshelf.RefusedShed, RetryAfter: a.retryAfter(), SlotRequests: len(a.tried), UnaskedWithRoom: a.unaskedWithRoom(),
+	}
+}
+
+// unaskedWithRoom counts the targets that had room for the request but whose owners were not asked.
+func (a *ownerAcquisition) unaskedWithRoom() int {
+	b := a.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[a.need.Pool]
+	if p == nil {
+		return 0
+	}
+	now := b.Clock.Now()
+	count := 0
+	for _, t := range p.targets {
+		if t.available(a.need, now) && t.hasRoom(a.need, now) && !slices.Contains(a.tried, t) {
+			count++
+		}
+	}
+	return count
+}
+
 // withdrawAll withdraws the slot requests that still wait, and tells their owners whether the
 // request has got a slot.
 func (a *ownerAcquisition) withdrawAll(served bool) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -70,6 +70,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_streams_taken_up_total{origin=%q}`, basis)).Inc()
 }
 
+// countUnplaced counts a request for which no slot was found, by whether a target that was not asked had room.
+func (m *Metrics) countUnplaced(room bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_requests_unplaced_total{room="%t"}`, room)).Inc()
+}
+
 func (m *Metrics) countQuarantined() {
 	m.set.GetOrCreateCounter("shelf_requests_held_back_total").Inc()
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -94,9 +94,11 @@
 	// originRecorded says that a record shows where the stream that the caller takes up began.
 	originRecorded bool
 	// slotRequests is how many owners were sent a slot request for the latest lease. chosenLocally says
-	// that no owner granted it and this instance chose the target by what it knew.
-	slotRequests  int
-	chosenLocally bool
+	// that no owner granted it and this instance chose the target by what it knew. unaskedWithRoom is how many
+	// targets had room that were not asked, for a request that got no slot.
+	slotRequests    int
+	chosenLocally   bool
+	unaskedWithRoom int
 
 	status    int
 	result    string
@@ -227,6 +229,9 @@
 	}
 	var refused *balance.Refusal
 	if errors.As(err, &refused) {
+		c.slotRequests = refused.SlotRequests
+		c.unaskedWithRoom = refused.UnaskedWithRoom
+		c.server.Metrics.countUnplaced(refused.UnaskedWithRoom > 0)
 		return nil, c.refusalFor(refused.Error(), refused.RetryAfter)
 	}
 	return nil, c.refusalFor("the time is over before a target was free", unavailableRetryAfter)
--- a/gateway/request_log.go
+++ b/gateway/request_log.go
@@ -48,6 +48,9 @@
 		fields = append(fields, "target", c.target, "version", c.targetVersion, "sent", c.sentAttempts, "turnedAway", c.rejections, "waited", c.queueTime,
 			"expected", c.expectedTime, "inFlight", c.targetInFlight, "cached", c.cachedTokens, "asked", c.slotRequests, "alone", c.chosenLocally)
 	}
+	if c.target == "" && c.slotRequests > 0 {
+		fields = append(fields, "asked", c.slotRequests, "unaskedWithRoom", c.unaskedWithRoom)
+	}
 	if c.via != "" {
 		fields = append(fields, "via", c.via)
 	}
