overload: a meter of how long work that is ready waits for the processor

The logs didn't tell a late instance from late links or late owners. A measurement begins when a connection arrives: a goroutine yields and looks how long it takes until it runs again. A timer doesn't show it: the runtime lets due timers run before goroutines that are ready. Measured on while work is late; an idle instance measures nothing. `Work waits for the processor.` and its end are logged, and each delay goes into shelf_processor_delay_seconds. No decision changes.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,6 +53,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`shelf_requests_of_others_total{outcome=%q}`, outcome)).Inc()
 }
 
+// ProcessorDelayed records how long work that was ready waited for the processor.
+func (m *Metrics) ProcessorDelayed(delay time.Duration) {
+	m.set.GetOrCreateHistogram("shelf_processor_delay_seconds").Update(delay.Seconds())
+}
+
 func (m *Metrics) countFailedAttempt() {
 	m.set.GetOrCreateCounter("shelf_attempts_failed_total").Inc()
 }
--- a/node/build.go
+++ b/node/build.go
@@ -17,6 +17,7 @@
 	"github.com/shelfshelf/shelfshelf/forward"
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
+	"github.com/shelfshelf/shelfshelf/overload"
 	"github.com/shelfshelf/shelfshelf/quota"
 	"github.com/shelfshelf/shelfshelf/relay"
 	"github.com/shelfshelf/shelfshelf/retrybudget"
@@ -64,6 +65,9 @@
 		Clock: n.Clock, Log: n.Log.WithPrefix("quota"), Ledger: n.quota, Store: &startUses{node: n}, IsSaver: n.leads,
 	}
 	n.metrics = gateway.NewMetrics()
+	n.delays = &overload.Meter{
+		Clock: n.Clock, Log: n.Log.WithPrefix("overload"), Processor: n.Processor, OnMeasured: n.metrics.ProcessorDelayed,
+	}
 	n.buildCrashes()
 	n.relay = &relay.Relay{
 		Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Usage: n.quota.UsageForRestore, Crashes: n.crashKeeper.Crashes,
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/shelfshelf/shelfshelf/gateway"
 	"github.com/shelfshelf/shelfshelf/gossip"
 	"github.com/shelfshelf/shelfshelf/origin"
+	"github.com/shelfshelf/shelfshelf/overload"
 	"github.com/shelfshelf/shelfshelf/quota"
 	"github.com/shelfshelf/shelfshelf/relay"
 	"github.com/shelfshelf/shelfshelf/rollout"
@@ -94,6 +95,8 @@
 	Platform Platform
 	// Sockets is the machine's network; nil means the operating system's.
 	Sockets shelfshelf.Sockets
+	// Processor is the machine's processor; nil means that of the Go runtime.
+	Processor shelfshelf.Processor
 
 	catalog  *catalog.Catalog
 	balancer *balance.Balancer
@@ -128,6 +131,7 @@
 	// figures listens for readers of metrics; nil where there is no such address.
 	figures  net.Listener
 	crowd    crowd
+	delays   *overload.Meter
 	stopping atomic.Bool
 	wasReady atomic.Bool
 	// toldCatalogAt is since when another instance knows a configuration.
@@ -159,7 +163,7 @@
 	// The listener's limit lies above the crowd's, so that a new connection is there before
 	// one that rests makes room for it.
 	n.crowd.Limit = int(callersShare * float64(n.Settings.Descriptors))
-	callers.ConnState = n.crowd.changed
+	callers.ConnState = n.connectionChanged
 	limited := netutil.LimitListener(n.callers, n.crowd.Limit+crowdMargin)
 	addServer(&group, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}, n.ready)
 	addServer(&group, &http.Server{Handler: n.internalHandler(), ReadHeaderTimeout: headerTimeout}, n.internal)
@@ -174,6 +178,14 @@
 	return err
 }
 
+// connectionChanged follows the state of a caller's connection.
+func (n *Node) connectionChanged(conn net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		n.delays.Measure()
+	}
+	n.crowd.changed(conn, state)
+}
+
 // Open listens and makes the parts; Run calls it if it has not been called.
 func (n *Node) Open() error {
 	if n.gateway != nil {
