Failing tests: full engines preferred to free ones, and a crowd at one instance, strong and weak

New in the stand-ins: processors of unlike strength (each read, write, connection and datagram of a machine is a piece of work, done in order), connections that wait to be accepted, and a balancer that asks for readiness each second and hands 95 of 100 new connections to one instance, another once that one is out. Callers open a connection a try; retries meet other instances. What is counted is the first try that was read.

--- a/fake/machine.go
+++ b/fake/machine.go
@@ -74,6 +74,7 @@
 func (s *packetSocket) ReadFrom(buffer []byte) (int, net.Addr, error) {
 	select {
 	case d := <-s.taken:
+		s.network.work(s.machine)
 		return copy(buffer, d.content), net.UDPAddrFromAddrPort(d.from), nil
 	case <-s.closed:
 		return 0, nil, net.ErrClosed
@@ -86,6 +87,7 @@
 	if !ok {
 		return 0, syscall.EINVAL
 	}
+	s.network.burden(s.machine)
 	s.network.post(s, address.AddrPort(), content)
 	return len(content), nil
 }
@@ -161,3 +163,10 @@
 	default:
 	}
 }
+
+// Yield waits until the machine's processor has done all that has come so far.
+func (m *Machine) Yield() {
+	if processor := m.network.processorOf(m.name); processor != nil {
+		processor.Yield()
+	}
+}
--- a/fake/network.go
+++ b/fake/network.go
@@ -14,6 +14,9 @@
 // packet is how many bytes go over a link at once.
 const packet = 4 << 10
 
+// backlog is how many connections wait to be accepted at most.
+const backlog = 128
+
 // dialTime is how long a connection to a machine behind a cut is tried.
 const dialTime = 3 * time.Second
 
@@ -32,6 +35,8 @@
 	isolated  map[string]bool
 	side      func(machine string) int
 	faulty    *linkFault
+	// processors are those of machines whose work takes time.
+	processors map[string]*Processor
 }
 
 // NewNetwork returns a network without machines.
@@ -40,6 +45,7 @@
 		Clock: clock, listeners: make(map[string]*networkListener),
 		links: make(map[string]*link), received: make(map[string]int64), conns: make(map[*networkConn]bool),
 		sockets: make(map[netip.AddrPort]*packetSocket), isolated: make(map[string]bool),
+		processors: make(map[string]*Processor),
 	}
 }
 
@@ -77,7 +83,8 @@
 func (n *Network) Listen(machine, port string) net.Listener {
 	l := &networkListener{
 		address: networkAddress(net.JoinHostPort(machine, port)),
-		taken:   make(chan net.Conn), closed: make(chan struct{}),
+		taken:   make(chan net.Conn, backlog), closed: make(chan struct{}),
+		network: n, machine: machine,
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -105,6 +112,7 @@
 		if n.cut(machine, other) {
 			return nil, n.hang(ctx, address)
 		}
+		n.work(machine)
 		here, there := net.Pipe()
 		select {
 		case <-ctx.Done():
@@ -112,7 +120,9 @@
 		case <-l.closed:
 			return nil, refused
 		case l.taken <- n.join(there, other, machine):
-			return n.join(here, machine, other), nil
+			conn := n.join(here, machine, other)
+			l.dropIfClosed()
+			return conn, nil
 		}
 	}
 }
@@ -210,6 +220,8 @@
 func (a networkAddress) String() string { return string(a) }
 
 type networkListener struct {
+	network *Network
+	machine string
 	address networkAddress
 	taken   chan net.Conn
 	closed  chan struct{}
@@ -219,6 +231,8 @@
 func (l *networkListener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-l.taken:
+		// What has come is accepted in one go.
+		l.network.burden(l.machine)
 		return conn, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
@@ -227,9 +241,27 @@
 
 func (l *networkListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
+	l.dropIfClosed()
 	return nil
 }
 
+// dropIfClosed closes the connections that nobody will accept any more.
+func (l *networkListener) dropIfClosed() {
+	select {
+	case <-l.closed:
+	default:
+		return
+	}
+	for {
+		select {
+		case conn := <-l.taken:
+			_ = conn.Close()
+		default:
+			return
+		}
+	}
+}
+
 func (l *networkListener) Addr() net.Addr { return l.address }
 
 // Isolate cuts a machine off from all others, without a word: its connections are broken,
@@ -272,7 +304,15 @@
 	abort    sync.Once
 }
 
+// Read returns what has come once the machine's processor has got to it.
+func (c *networkConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.network.work(c.from)
+	return count, err
+}
+
 func (c *networkConn) Write(content []byte) (int, error) {
+	c.network.work(c.from)
 	if c.network.silent(c.from, c.to) {
 		c.abort.Do(c.abortLater)
 		return len(content), nil
--- a/node/size_test.go
+++ b/node/size_test.go
@@ -161,7 +161,7 @@
 		Platform: node.Platform{
 			Catalog: store, Directory: store, Codec: platform.Headers{}, Uses: store, Crashes: store, Rollouts: store, Versions: store, ReadyPath: platform.ReadyPath,
 		},
-		Sockets: machine,
+		Sockets: machine, Processor: machine,
 	}
 	// The test looks into instances that have just started.
 	if err := instance.Open(); err != nil {
