Failing tests: crowds that go on to the next instance or come back, a narrow link, all instances late at once

The stand-in's network: opening a connection takes its time on the links, a closed port refuses at once, and a listener can stop waiting.

--- a/fake/network.go
+++ b/fake/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,9 @@
 // packet is how many bytes go over a link at once.
 const packet = 4 << 10
 
+// handshake is how many bytes it takes to open a connection.
+const handshake = 120
+
 // backlog is how many connections wait to be accepted at most.
 const backlog = 128
 
@@ -99,7 +103,7 @@
 		l := n.listeners[address]
 		n.mu.Unlock()
 		refused := &net.OpError{Op: "dial", Net: "tcp", Addr: networkAddress(address), Err: syscall.ECONNREFUSED}
-		if l == nil {
+		if l == nil || l.isClosed() {
 			return nil, refused
 		}
 		other, _, err := net.SplitHostPort(address)
@@ -113,6 +117,7 @@
 			return nil, n.hang(ctx, address)
 		}
 		n.work(machine)
+		n.carry(machine, other, handshake)
 		here, there := net.Pipe()
 		select {
 		case <-ctx.Done():
@@ -226,10 +231,31 @@
 	taken   chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
+
+	mu sync.Mutex
+	// end is when Accept stops waiting; zero means never.
+	end time.Time
+}
+
+// SetDeadline bounds the next calls of Accept.
+func (l *networkListener) SetDeadline(end time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end = end
+	return nil
 }
 
 func (l *networkListener) Accept() (net.Conn, error) {
+	var late <-chan time.Time
+	l.mu.Lock()
+	end := l.end
+	l.mu.Unlock()
+	if !end.IsZero() {
+		late = l.network.Clock.After(end.Sub(l.network.Clock.Now()))
+	}
 	select {
+	case <-late:
+		return nil, os.ErrDeadlineExceeded
 	case conn := <-l.taken:
 		// What has come is accepted in one go.
 		l.network.burden(l.machine)
@@ -245,11 +271,18 @@
 	return nil
 }
 
-// dropIfClosed closes the connections that nobody will accept any more.
-func (l *networkListener) dropIfClosed() {
+func (l *networkListener) isClosed() bool {
 	select {
 	case <-l.closed:
+		return true
 	default:
+		return false
+	}
+}
+
+// dropIfClosed closes the connections that nobody will accept any more.
+func (l *networkListener) dropIfClosed() {
+	if !l.isClosed() {
 		return
 	}
 	for {
--- a/node/crowded_world_test.go
+++ b/node/crowded_world_test.go
@@ -48,12 +48,16 @@
 	// from one event to the next.
 	engines, events int
 	pace            time.Duration
-	// moves is how often the crowd goes on to the next instance by itself.
-	moves int
-	// late are the instances whose processors are weak beside those that always are.
+	// moves is how often the crowd goes on to the next instance by itself, and times how often it comes.
+	moves, times int
+	// allWeak gives all instances weak processors.
 	allWeak bool
-	// times is how often the crowd comes.
-	times int
+	// evenly has the crowd come to all instances, so many times as many callers as before.
+	evenly int
+	// body is how many bytes the body of a request has; 0 means a few.
+	body int
+	// noProcessors has the processors take no time.
+	noProcessors bool
 }
 
 // crowded is instances with processors of unlike strength behind a stand-in of the balancer.
@@ -68,9 +72,8 @@
 	changes int
 
 	calm, during, after tally
-	// worst is the fewest served of those of one second of a crowd.
+	// seconds counts by second of the crowd.
 	seconds map[int]*tally
-	crowdOf time.Time
 }
 
 // tally counts first tries that were read, and tries that were closed unread.
@@ -104,6 +107,9 @@
 func newCrowded(l *large, c crowdCase) *crowded {
 	p := &crowded{limited: newLimited(l, 0), crowdCase: c, crowdAt: -1, misses: make([]int, c.count), seconds: make(map[int]*tally)}
 	for i := range c.count {
+		if c.noProcessors {
+			break
+		}
 		cost := weakCost
 		if linkOf(i) == wideLink && !c.allWeak {
 			cost = strongCost
@@ -201,7 +207,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.crowdAt = at
-	p.crowdOf = p.clock.Now()
 }
 
 // moveOn has the crowd go on to the next instance.
@@ -212,13 +217,13 @@
 }
 
 // come has callers come for a time, and returns a channel that is closed once all of them are done.
-func (p *crowded) come(span time.Duration, count func(sent time.Time, status string)) *sync.WaitGroup {
+func (p *crowded) come(span time.Duration, perSecond int, count func(sent time.Time, status string)) *sync.WaitGroup {
 	var callers sync.WaitGroup
 	end := p.clock.Now().Add(span)
 	for number := 0; p.clock.Now().Before(end); number++ {
 		kind := p.kindOf(number)
 		callers.Go(func() { p.serveCaller(kind, count) })
-		time.Sleep(time.Second / time.Duration(p.perSecond))
+		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 	return &callers
 }
@@ -296,7 +301,7 @@
 }
 
 func (p *crowded) request(ctx context.Context, kind string, at int, left time.Duration) *http.Request {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:80/%s/x", machineOf(at), kind), strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:80/%s/x", machineOf(at), kind), strings.NewReader(strings.Repeat("x", max(p.body, 1))))
 	if err != nil {
 		p.t.Error(err)
 		return nil
@@ -316,23 +321,27 @@
 	into := func(t *tally) func(time.Time, string) {
 		return func(_ time.Time, status string) { t.add(status) }
 	}
-	p.come(calmSpan, into(&p.calm)).Wait()
-	for time := range max(p.times, 1) {
-		p.playCrowd((p.at + time*centres) % p.count)
+	p.come(calmSpan, p.perSecond, into(&p.calm)).Wait()
+	for range max(p.times, 1) {
+		p.playCrowd(p.at)
 	}
-	p.setCrowd(-1)
-	p.come(crowdContact, func(time.Time, string) {}).Wait()
-	p.come(calmSpan, into(&p.after)).Wait()
+	p.come(crowdContact, p.perSecond, func(time.Time, string) {}).Wait()
+	p.come(calmSpan, p.perSecond, into(&p.after)).Wait()
 }
 
 // playCrowd has most callers come to one instance for a while, then all evenly for a moment.
 func (p *crowded) playCrowd(at int) {
-	p.setCrowd(at)
+	perSecond := p.perSecond
+	if p.evenly > 0 {
+		perSecond *= p.evenly
+	} else {
+		p.setCrowd(at)
+	}
 	began := p.clock.Now()
 	for move := range p.moves {
 		time.AfterFunc(crowdSpan*time.Duration(move+1)/time.Duration(p.moves+1), p.moveOn)
 	}
-	callers := p.come(crowdSpan, func(sent time.Time, status string) {
+	callers := p.come(crowdSpan, perSecond, func(sent time.Time, status string) {
 		since := sent.Sub(began)
 		second := int(since / time.Second)
 		if p.seconds[second] == nil {
