overload: a late instance takes hardly any new connections until work runs in time again

What callers saw: with most new connections at one instance whose processor is too weak for them, it read everything and answered hardly anything: 2,109 of 8,580 tries in 14 s never answered, 2,062 of 503, though its engines had room. It never recovered while the crowd lasted. With several instances it was late with its readiness too, was taken out, and the crowd did the same to the next.

Cause: nothing bounds what is read but descriptors and memory. Each request read costs more the later everything is (slot answers and dials past their times, callers that come again). Class: work is accepted by what it costs at once, not by what it takes to be done.

Change: once each measurement of 250 ms shows a wait of over 30 ms, the address for callers is closed but for 25 ms of each 250 ms, so that the operating system refuses them at once and they try another instance, whatever the request. When work runs in time again, half of the rate is taken at which the instance became late, then more: 15% each 100 ms up to 0.75 of that rate, 2% from there on, until it is late again or nobody was held back for a second. No size, share or rate is written down. Answers close their connections while the instance is late, since open ones go past any limit. Readiness stays as it is: to leave would hand the crowd on. What has been read is served as ever.

In overload: short delays and a processor given as a share hold nobody back.

--- a/node/build.go
+++ b/node/build.go
@@ -65,9 +65,7 @@
 		Clock: n.Clock, Log: n.Log.WithPrefix("quota"), Ledger: n.quota, Store: &startUses{node: n}, IsSaver: n.leads,
 	}
 	n.metrics = gateway.NewMetrics()
-	n.delays = &overload.Meter{
-		Clock: n.Clock, Log: n.Log.WithPrefix("overload"), Processor: n.Processor, OnMeasured: n.metrics.ProcessorDelayed,
-	}
+	n.buildGate()
 	n.buildCrashes()
 	n.relay = &relay.Relay{
 		Clock: n.Clock, Log: n.Log.WithPrefix("relay"), Catalog: n.catalog, Usage: n.quota.UsageForRestore, Crashes: n.crashKeeper.Crashes,
@@ -87,6 +85,19 @@
 	return nil
 }
 
+// buildGate makes the part that bounds what is read of callers.
+func (n *Node) buildGate() {
+	logger := n.Log.WithPrefix("overload")
+	n.gate = &overload.Gate{
+		Clock: n.Clock, Log: logger,
+		Meter: &overload.Meter{
+			Clock: n.Clock, Log: logger, Processor: n.Processor, OnMeasured: n.metrics.ProcessorDelayed,
+		},
+	}
+	n.callers.Gate = n.gate
+	n.metrics.Gauge("shelf_connections_limit", n.gate.Limit)
+}
+
 // buildCrashes makes the parts that know under which requests targets have ended.
 func (n *Node) buildCrashes() {
 	logger := n.Log.WithPrefix("crashes")
--- a/node/listen.go
+++ b/node/listen.go
@@ -5,6 +5,8 @@
 	"net"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/shelfshelf/shelfshelf/overload"
 )
 
 // systemSockets are the operating system's.
@@ -33,7 +35,10 @@
 		n.Sockets = &systemSockets{}
 	}
 	var err error
-	if n.callers, err = n.Sockets.Listen(n.Settings.Callers); err != nil {
+	n.callers = &overload.Listener{
+		Clock: n.Clock, Log: n.Log.WithPrefix("overload"), Address: n.Settings.Callers, Listen: n.Sockets.Listen,
+	}
+	if err = n.callers.Open(); err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
 	if n.ready, err = n.Sockets.Listen(n.Settings.Ready); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -125,13 +125,13 @@
 	gateway       *gateway.Server
 	metrics       *gateway.Metrics
 
-	callers  net.Listener
+	callers  *overload.Listener
 	ready    net.Listener
 	internal net.Listener
 	// figures listens for readers of metrics; nil where there is no such address.
 	figures  net.Listener
 	crowd    crowd
-	delays   *overload.Meter
+	gate     *overload.Gate
 	stopping atomic.Bool
 	wasReady atomic.Bool
 	// toldCatalogAt is since when another instance knows a configuration.
@@ -155,7 +155,7 @@
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
 	callers := &http.Server{
-		Handler:           n.gateway,
+		Handler:           n.gate.Handler(n.gateway),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -163,7 +163,7 @@
 	// The listener's limit lies above the crowd's, so that a new connection is there before
 	// one that rests makes room for it.
 	n.crowd.Limit = int(callersShare * float64(n.Settings.Descriptors))
-	callers.ConnState = n.connectionChanged
+	callers.ConnState = n.crowd.changed
 	limited := netutil.LimitListener(n.callers, n.crowd.Limit+crowdMargin)
 	addServer(&group, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}, n.ready)
 	addServer(&group, &http.Server{Handler: n.internalHandler(), ReadHeaderTimeout: headerTimeout}, n.internal)
@@ -178,14 +178,6 @@
 	return err
 }
 
-// connectionChanged follows the state of a caller's connection.
-func (n *Node) connectionChanged(conn net.Conn, state http.ConnState) {
-	if state == http.StateNew {
-		n.delays.Measure()
-	}
-	n.crowd.changed(conn, state)
-}
-
 // Open listens and makes the parts; Run calls it if it has not been called.
 func (n *Node) Open() error {
 	if n.gateway != nil {
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -1,5 +1,11 @@
-// Package overload tells whether an instance has more work than its processor does.
+// Package overload bounds what an instance reads of its callers by what it serves in time.
 //
-// A Meter measures how long work that is ready waits for the processor. It does so when connections arrive,
-// and goes on while work is late; an idle instance measures nothing.
+// A Meter measures how long work that is ready waits for the processor, and tells whether the instance is late. It
+// measures when connections or requests arrive, and goes on while work is late; an idle instance measures nothing.
+// A Gate decides by that when new connections are taken, and a Listener closes the address for callers meanwhile, so
+// that they are refused at once and try another instance. What has been read is never given up for it.
+//
+//	in time      all connections are taken
+//	late         the address is open for 25 ms of each 250 ms
+//	in time      half as many a second as before it was late, then more, until nobody is held back
 package overload
--- /dev/null
+++ b/overload/gate.go
@@ -0,0 +1,175 @@
+package overload
+
+import (
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+const (
+	// windowPeriod is how often a late instance takes connections, and window for how long. The platform expects an
+	// instance that calls itself ready to take some.
+	windowPeriod = 250 * time.Millisecond
+	window       = 25 * time.Millisecond
+	// lateShare is how much an instance that was late takes afterwards, as a part of the rate at which it became late.
+	lateShare = 0.5
+	// growthInterval is how often the limit grows while the instance is in time: by fastGrowth up to safeShare of the
+	// rate at which it last became late, and by slowGrowth from there on, since too high a rate takes up to a second
+	// to show.
+	growthInterval = 100 * time.Millisecond
+	fastGrowth     = 1.15
+	slowGrowth     = 1.02
+	safeShare      = 0.75
+	// minLimit is the smallest limit, in connections per second.
+	minLimit = 8
+	// unusedPeriod is after how long a limit ends that holds nobody back.
+	unusedPeriod = time.Second
+	// burstPeriod is the time within which the connections of a limit may come at once.
+	burstPeriod = 50 * time.Millisecond
+	// rateMemory is the time constant of the rate at which connections were taken.
+	rateMemory = 400 * time.Millisecond
+)
+
+// Gate decides when an instance takes new connections, so that what it has read is served as well as before. While the
+// instance is late, it takes hardly any; after that it takes fewer a second than before, and more and more until it is
+// late again or nobody is held back. Its fields are set before use. It is safe for concurrent use.
+type Gate struct {
+	Clock shelfshelf.Clock
+	Log   *log.Logger
+	Meter *Meter
+
+	mu sync.Mutex
+	// lateSince is when the instance became late; zero while it is not.
+	lateSince time.Time
+	// limit is in connections per second; 0 means none. changedAt is when it last changed, heldBackAt when it last
+	// held a connection back, and lateRate the rate at which the instance last became late.
+	limit      float64
+	changedAt  time.Time
+	heldBackAt time.Time
+	lateRate   float64
+	// tokens are the connections that may be taken at once as of tokensAt.
+	tokens   float64
+	tokensAt time.Time
+	// taken is the decayed number of connections that were taken, as of takenAt.
+	taken   float64
+	takenAt time.Time
+}
+
+// Limit returns the limit in connections per second; 0 means none.
+func (g *Gate) Limit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limit
+}
+
+// Next returns how long no connection is to be taken, or, if one may be taken now, for how long that holds; 0 means
+// until it is asked again.
+func (g *Gate) Next() (wait, holds time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.follow(now)
+	switch {
+	case !g.lateSince.IsZero():
+		return g.nextWindow(now)
+	case g.limit > 0:
+		return g.nextToken(now), 0
+	}
+	return 0, 0
+}
+
+// nextWindow returns when a late instance may take connections. The caller must hold g.mu.
+func (g *Gate) nextWindow(now time.Time) (wait, holds time.Duration) {
+	g.heldBackAt = now
+	// The first window comes at the end of the first period.
+	in := now.Sub(g.lateSince) % windowPeriod
+	if opens := windowPeriod - window; in < opens {
+		return opens - in, 0
+	}
+	return 0, windowPeriod - in
+}
+
+// nextToken returns when the limit allows a connection. The caller must hold g.mu.
+func (g *Gate) nextToken(now time.Time) time.Duration {
+	burst := max(1, g.limit*burstPeriod.Seconds())
+	g.tokens = min(g.tokens+g.limit*now.Sub(g.tokensAt).Seconds(), burst)
+	g.tokensAt = now
+	if g.tokens >= 1 {
+		return 0
+	}
+	g.heldBackAt = now
+	return time.Duration((1 - g.tokens) / g.limit * float64(time.Second))
+}
+
+// Taken records that a connection was taken.
+func (g *Gate) Taken() {
+	g.Meter.Measure()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.taken = g.takenLately(now) + 1
+	g.takenAt = now
+	// Those that were on their way when the limit was reached are taken all the same, and count against later ones.
+	g.tokens = max(g.tokens-1, -g.limit)
+}
+
+// takenLately returns the decayed number of connections that were taken. The caller must hold g.mu.
+func (g *Gate) takenLately(now time.Time) float64 {
+	return g.taken * math.Exp(-float64(now.Sub(g.takenAt))/float64(rateMemory))
+}
+
+// Handler measures at each request, and has answers close their connections while the instance is late: requests on
+// open connections would go on past any limit.
+func (g *Gate) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.Meter.Measure()
+		if g.Meter.IsLate() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// follow follows whether the instance is late, and adjusts the limit. The caller must hold g.mu.
+func (g *Gate) follow(now time.Time) {
+	late, strained := g.Meter.Late()
+	switch {
+	case late > 0 && g.lateSince.IsZero():
+		g.becomeLate(now, late)
+	case late > 0:
+	case !g.lateSince.IsZero():
+		g.Log.Info("New connections are taken again.", "perSecond", g.limit, "after", now.Sub(g.lateSince))
+		g.lateSince = time.Time{}
+		g.tokens, g.tokensAt, g.changedAt = 0, now, now
+	case g.limit == 0 || strained:
+	case now.Sub(g.heldBackAt) >= unusedPeriod:
+		g.limit = 0
+		g.Log.Info("New connections are taken without a limit again.")
+	case now.Sub(g.changedAt) >= growthInterval:
+		g.grow(now)
+	}
+}
+
+func (g *Gate) becomeLate(now time.Time, late time.Duration) {
+	g.lateRate = g.limit
+	if g.limit == 0 {
+		g.lateRate = g.takenLately(now) / rateMemory.Seconds()
+	}
+	g.limit = max(g.lateRate*lateShare, minLimit)
+	g.lateSince = now
+	g.Log.Info("Hardly any new connections are taken: this instance is late.", "since", late, "taken", g.lateRate)
+}
+
+func (g *Gate) grow(now time.Time) {
+	factor := slowGrowth
+	if g.limit*fastGrowth <= safeShare*g.lateRate {
+		factor = fastGrowth
+	}
+	g.limit *= factor
+	g.changedAt = now
+}
--- /dev/null
+++ b/overload/listener.go
@@ -0,0 +1,183 @@
+package overload
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/shelfshelf/shelfshelf"
+)
+
+// checkInterval is how often it is checked whether the address may be opened again.
+const checkInterval = 20 * time.Millisecond
+
+// pendingTime is how long to look for connections that wait to be taken.
+const pendingTime = time.Millisecond
+
+// deadliner is a listener that can stop waiting, as those of the operating system can.
+type deadliner interface {
+	SetDeadline(end time.Time) error
+}
+
+// Listener takes connections as a gate allows. While it takes none, its address is closed, so that callers are refused
+// at once by the operating system and may try another instance with any request; a connection that is accepted and
+// closed unread would have cost the processor's time, and the link the whole request. Its fields are set before use.
+type Listener struct {
+	Clock shelfshelf.Clock
+	Log   *log.Logger
+	Gate  *Gate
+	// Address is where connections come to, and Listen opens it.
+	Address string
+	Listen  func(address string) (net.Listener, error)
+
+	mu sync.Mutex
+	// open is the open address; nil while it is closed.
+	open  net.Listener
+	ended chan struct{}
+	once  sync.Once
+}
+
+// Open opens the address for the first time.
+func (l *Listener) Open() error {
+	l.ended = make(chan struct{})
+	_, err := l.reopen()
+	return err
+}
+
+// Accept returns the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	for !l.hasEnded() {
+		wait, holds := l.Gate.Next()
+		if wait > 0 {
+			// What is there already has cost its way here, and is taken all the same.
+			if conn := l.acceptPending(); conn != nil {
+				return conn, nil
+			}
+			l.suspend()
+			l.pause(min(wait, checkInterval))
+			continue
+		}
+		open, err := l.reopen()
+		if err != nil {
+			l.Log.Error("The address for callers could not be opened again.", "error", err)
+			l.pause(checkInterval)
+			continue
+		}
+		conn, err := l.acceptWithin(open, holds)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		return conn, err
+	}
+	return nil, net.ErrClosed
+}
+
+// acceptPending returns a connection that waits to be taken; nil if there is none.
+func (l *Listener) acceptPending() net.Conn {
+	l.mu.Lock()
+	open := l.open
+	l.mu.Unlock()
+	if open == nil {
+		return nil
+	}
+	conn, err := l.acceptWithin(open, pendingTime)
+	if err != nil {
+		return nil
+	}
+	return conn
+}
+
+// acceptWithin returns the next connection that comes within a time; 0 means without an end.
+func (l *Listener) acceptWithin(open net.Listener, within time.Duration) (net.Conn, error) {
+	var end time.Time
+	if within > 0 {
+		end = l.Clock.Now().Add(within)
+	}
+	if limited, ok := open.(deadliner); ok {
+		if err := limited.SetDeadline(end); err != nil {
+			return nil, err
+		}
+	}
+	conn, err := open.Accept()
+	if err == nil {
+		l.Gate.Taken()
+	}
+	return conn, err
+}
+
+// reopen opens the address if it is closed. The error is net.ErrClosed if the listener has ended.
+func (l *Listener) reopen() (net.Listener, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hasEnded() {
+		return nil, net.ErrClosed
+	}
+	if l.open != nil {
+		return l.open, nil
+	}
+	open, err := l.Listen(l.Address)
+	if err != nil {
+		return nil, err
+	}
+	// A port that the system has chosen stays.
+	l.Address = open.Addr().String()
+	l.open = open
+	return open, nil
+}
+
+// suspend closes the address.
+func (l *Listener) suspend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open == nil {
+		return
+	}
+	if err := l.open.Close(); err != nil {
+		l.Log.Error("The address for callers could not be closed.", "error", err)
+	}
+	l.open = nil
+}
+
+// pause waits unless the listener ends.
+func (l *Listener) pause(wait time.Duration) {
+	select {
+	case <-l.Clock.After(wait):
+	case <-l.ended:
+	}
+}
+
+func (l *Listener) hasEnded() bool {
+	select {
+	case <-l.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close ends the listener.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.ended) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open == nil {
+		return nil
+	}
+	open := l.open
+	l.open = nil
+	return open.Close()
+}
+
+// Addr returns the address, or nil while it is closed.
+func (l *Listener) Addr() net.Addr {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open == nil {
+		return nil
+	}
+	return l.open.Addr()
+}
--- a/overload/meter.go
+++ b/overload/meter.go
@@ -14,16 +14,18 @@
 	// maxDelay is how long work may wait for the processor. A request takes some 20 turns, and a slot answer
 	// is awaited for 40 ms.
 	maxDelay = 30 * time.Millisecond
-	// lateAfter is how long work has to wait for longer than maxDelay before the instance counts as late. A
-	// processor that is given as a share of each tenth of a second stands still for most of one.
-	lateAfter = 120 * time.Millisecond
+	// lateAfter is for how long measurements have to be above their bound before the instance counts as late. A
+	// processor that is given as a share of each tenth of a second stands still for most of one, and a few long
+	// prompts fill a link of 10 Mbit/s for 150 ms.
+	lateAfter = 250 * time.Millisecond
 	// probeInterval is the pause between two measurements while work is late.
 	probeInterval = 10 * time.Millisecond
+	// idlePeriod is after how long without a connection or a request measurements end.
+	idlePeriod = time.Second
 )
 
-// Meter measures how long work waits for the processor, and tells whether the instance is late: whether work has
-// waited for too long in each measurement of the last while. Its fields are set before use. It is safe for
-// concurrent use.
+// Meter measures how long work waits for the processor. The instance is late if it has waited too long for a while.
+// Its fields are set before use. It is safe for concurrent use.
 type Meter struct {
 	Clock shelfshelf.Clock
 	Log   *log.Logger
@@ -33,23 +35,89 @@
 	OnMeasured func(delay time.Duration)
 
 	mu sync.Mutex
-	// running says that the loop runs, and began when its current measurement began.
+	// work is what is measured of the processor.
+	work series
+	// usedAt is when the instance last had something to do.
+	usedAt time.Time
+}
+
+// series is a series of measurements of one kind.
+type series struct {
+	// bound is what a measurement may take.
+	bound time.Duration
+	// running says that measurements are made, and began when the current one began.
 	running bool
 	began   time.Time
-	// excessSince is when the first of the latest measurements began that were all above maxDelay; zero if the
-	// latest one was not.
+	// excessSince is when the first of the latest measurements began that were all above the bound, and excessUntil
+	// when the last of them ended; zero if the latest one was not.
 	excessSince time.Time
-	lateSince   time.Time
+	excessUntil time.Time
 	longest     time.Duration
+	// logged says that the log tells that the series shows that the instance is late.
+	logged bool
+}
+
+// start begins a measurement.
+func (s *series) start(now time.Time) {
+	s.running, s.began = true, now
+}
+
+// end ends the current measurement. The series goes on while they are above the bound.
+func (s *series) end(now time.Time) {
+	took := now.Sub(s.began)
+	if took <= s.bound {
+		s.reset()
+		return
+	}
+	if s.excessSince.IsZero() {
+		s.excessSince = s.began
+	}
+	s.excessUntil = now
+	s.longest = max(s.longest, took)
+}
+
+// reset ends the measurements without a result.
+func (s *series) reset() {
+	s.running = false
+	s.excessSince, s.excessUntil, s.longest = time.Time{}, time.Time{}, 0
+}
+
+// current returns how long the current measurement takes so far.
+func (s *series) current(now time.Time) time.Duration {
+	if !s.running {
+		return 0
+	}
+	return now.Sub(s.began)
+}
+
+// excess returns for how long measurements have been above the bound, the current one included once it is.
+func (s *series) excess(now time.Time) time.Duration {
+	since, until := s.excessSince, s.excessUntil
+	if s.current(now) > s.bound {
+		until = now
+		if since.IsZero() {
+			since = s.began
+		}
+	}
+	return until.Sub(since)
 }
 
-// Measure begins a measurement unless one is under way.
+// late returns for how long the series has shown that the instance is late; 0 if it doesn't.
+func (s *series) late(now time.Time) time.Duration {
+	if excess := s.excess(now); excess >= lateAfter {
+		return excess
+	}
+	return 0
+}
+
+// Measure begins a measurement of the processor unless one is under way.
 func (m *Meter) Measure() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.running {
-		m.running = true
-		m.began = m.Clock.Now()
+	m.usedAt = m.Clock.Now()
+	if !m.work.running {
+		m.work.bound = maxDelay
+		m.work.start(m.usedAt)
 		go m.run()
 	}
 }
@@ -58,9 +126,7 @@
 func (m *Meter) run() {
 	for m.measure() {
 		<-m.Clock.After(probeInterval)
-		m.mu.Lock()
-		m.began = m.Clock.Now()
-		m.mu.Unlock()
+		m.restart(&m.work)
 	}
 }
 
@@ -70,17 +136,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
-	delay := now.Sub(m.began)
 	if m.OnMeasured != nil {
-		m.OnMeasured(delay)
+		m.OnMeasured(m.work.current(now))
 	}
-	if delay > maxDelay {
-		m.recordExcess(now, delay)
-	} else {
-		m.recordInTime(now)
+	return m.end(&m.work, "processor", now)
+}
+
+// end ends the current measurement of a series and reports whether another one is to follow. The caller must hold
+// m.mu.
+func (m *Meter) end(s *series, what string, now time.Time) bool {
+	s.end(now)
+	if now.Sub(m.usedAt) > idlePeriod {
+		s.reset()
 	}
-	m.running = !m.excessSince.IsZero()
-	return m.running
+	m.logChange(s, what, now)
+	return s.running
 }
 
 func (m *Meter) yield() {
@@ -91,23 +161,37 @@
 	m.Processor.Yield()
 }
 
-// recordExcess records a measurement above maxDelay. The caller must hold m.mu.
-func (m *Meter) recordExcess(now time.Time, delay time.Duration) {
-	m.longest = max(m.longest, delay)
-	if m.excessSince.IsZero() {
-		m.excessSince = m.began
-		return
-	}
-	if m.lateSince.IsZero() && now.Sub(m.excessSince) >= lateAfter {
-		m.lateSince = m.excessSince
-		m.Log.Info("Work waits for the processor.", "delay", delay, "longest", m.longest, "since", now.Sub(m.excessSince))
-	}
+// restart begins the next measurement of a series.
+func (m *Meter) restart(s *series) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.start(m.Clock.Now())
+}
+
+// Late returns for how long the instance has been late; 0 if it is not. strained says that the latest measurement
+// was above its bound.
+func (m *Meter) Late() (late time.Duration, strained bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	return m.work.late(now), m.work.excess(now) > 0
+}
+
+// IsLate reports whether the instance is late.
+func (m *Meter) IsLate() bool {
+	late, _ := m.Late()
+	return late > 0
 }
 
-// recordInTime records a measurement of at most maxDelay. The caller must hold m.mu.
-func (m *Meter) recordInTime(now time.Time) {
-	if !m.lateSince.IsZero() {
-		m.Log.Info("Work no longer waits for the processor.", "longest", m.longest, "lateFor", now.Sub(m.lateSince))
+// logChange logs that the instance has become late, or no longer is. The caller must hold m.mu.
+func (m *Meter) logChange(s *series, what string, now time.Time) {
+	late := s.late(now)
+	switch {
+	case late > 0 && !s.logged:
+		s.logged = true
+		m.Log.Info("This instance is late.", "by", what, "since", late, "longest", s.longest)
+	case s.excessSince.IsZero() && s.logged:
+		s.logged = false
+		m.Log.Info("This instance is no longer late.", "by", what)
 	}
-	m.excessSince, m.lateSince, m.longest = time.Time{}, time.Time{}, 0
 }
--- /dev/null
+++ b/overload/overload_test.go
@@ -0,0 +1,191 @@
+package overload_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/shelfshelf/shelfshelf/fake"
+	"github.com/shelfshelf/shelfshelf/overload"
+)
+
+// processor is one on which work waits as the test says.
+type processor struct {
+	mu    sync.Mutex
+	until time.Time
+	delay func(now time.Time) time.Duration
+}
+
+// busyFor has work wait for so long each time, for a while.
+func (p *processor) busyFor(span, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.until = time.Now().Add(span)
+	p.delay = func(time.Time) time.Duration { return delay }
+}
+
+// shared has the processor stand still for the rest of each tenth of a second once it has run for a while.
+func (p *processor) shared(runs time.Duration) {
+	const period = 100 * time.Millisecond
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.until = time.Now().Add(3 * time.Second)
+	p.delay = func(now time.Time) time.Duration {
+		if in := now.Sub(now.Truncate(period)); in > runs {
+			return period - in
+		}
+		return 0
+	}
+}
+
+func (p *processor) Yield() {
+	p.mu.Lock()
+	now, delay := time.Now(), time.Duration(0)
+	if now.Before(p.until) {
+		delay = p.delay(now)
+	}
+	p.mu.Unlock()
+	time.Sleep(delay)
+}
+
+// newGate returns a gate of an instance without others, and its processor.
+func newGate() (*overload.Gate, *processor) {
+	p := &processor{}
+	clock, logger := clockwork.NewRealClock(), log.New(io.Discard)
+	meter := &overload.Meter{Clock: clock, Log: logger, Processor: p}
+	return &overload.Gate{Clock: clock, Log: logger, Meter: meter}, p
+}
+
+// come has connections come for a while, so many a second, and returns how many were taken. Each of them measures.
+func come(g *overload.Gate, span time.Duration, perSecond int) (taken, all int) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perSecond)) {
+		all++
+		if wait, _ := g.Next(); wait == 0 {
+			g.Taken()
+			taken++
+		}
+	}
+	return taken, all
+}
+
+// Short bursts, and a processor that is given as a share of each tenth of a second, hold nobody back.
+func TestShortDelaysHoldNobodyBack(t *testing.T) {
+	cases := map[string]func(p *processor){
+		"a burst":               func(p *processor) { p.busyFor(150*time.Millisecond, 60*time.Millisecond) },
+		"a long turn":           func(p *processor) { p.busyFor(time.Millisecond, 200*time.Millisecond) },
+		"little work at a time": func(p *processor) { p.busyFor(3*time.Second, 25*time.Millisecond) },
+		"a share":               func(p *processor) { p.shared(20 * time.Millisecond) },
+	}
+	for name, set := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, p := newGate()
+				come(g, time.Second, 200)
+				set(p)
+				if taken, all := come(g, 3*time.Second, 200); taken < all {
+					t.Errorf("%d of %d were taken", taken, all)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// A late instance takes hardly any connections, but some; then fewer than before, and all once nobody is held back.
+func TestLateInstancesTakeFewer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGate()
+		come(g, 2*time.Second, 200)
+		p.busyFor(2*time.Second, 100*time.Millisecond)
+		come(g, 300*time.Millisecond, 200)
+		late, all := come(g, 1700*time.Millisecond, 200)
+		if late == 0 || late > all/4 {
+			t.Errorf("late: %d of %d were taken", late, all)
+		}
+		come(g, 200*time.Millisecond, 200)
+		after, all := come(g, time.Second, 200)
+		if after < all/3 || after > all*9/10 {
+			t.Errorf("in the second after: %d of %d were taken", after, all)
+		}
+		come(g, 7*time.Second, 200)
+		if later, all := come(g, 3*time.Second, 200); later < all || g.Limit() > 0 {
+			t.Errorf("%d of %d were taken, the limit is %v", later, all, g.Limit())
+		}
+	})
+}
+
+// A limit ends soon after the crowd has gone.
+func TestLimitsEndWithTheCrowd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGate()
+		come(g, time.Second, 400)
+		p.busyFor(time.Second, 100*time.Millisecond)
+		come(g, time.Second, 400)
+		come(g, time.Second, 20)
+		if taken, all := come(g, 2*time.Second, 20); taken < all || g.Limit() > 0 {
+			t.Errorf("%d of %d were taken, the limit is %v", taken, all, g.Limit())
+		}
+	})
+}
+
+// While the address is closed, callers are refused at once; it is the same one after that, and closing ends Accept.
+func TestLateInstancesRefuseAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGate()
+		network := fake.NewNetwork(g.Clock)
+		listener := &overload.Listener{
+			Clock: g.Clock, Log: g.Log, Gate: g, Address: "10.0.0.1:80", Listen: network.Machine("10.0.0.1").Listen,
+		}
+		if err := listener.Open(); err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				_ = conn.Close()
+			}
+		}()
+		dial := network.Machine("10.0.0.2").Dial
+		p.busyFor(time.Second, 100*time.Millisecond)
+		refused := 0
+		for range 200 {
+			conn, err := dial(t.Context(), "tcp", "10.0.0.1:80")
+			if err == nil {
+				_ = conn.Close()
+			} else if errors.Is(err, syscall.ECONNREFUSED) {
+				refused++
+			} else {
+				t.Error(err)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if refused < 100 || refused > 190 {
+			t.Errorf("%d of 200 were refused", refused)
+		}
+		time.Sleep(3 * time.Second)
+		conn, err := dial(t.Context(), "tcp", "10.0.0.1:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close()
+		if err := listener.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := <-ended; !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	})
+}
