overload: an instance whose links are full takes hardly any new connections either

Cause: the same as for the processor, for the other thing that is short. Requests go in and out again, answers too, and what waits for the link makes connections to targets take longer than their 150 ms: from 3 s on not one of them was opened for ten seconds, while datagrams took 1 ms, so that slot answers don't show it.

Change: where a connection to a target takes over 60 ms, or fails so late, connections to three other instances are opened at once; the first that is there counts. They are opened by the operating system, however late those instances are. Once each such round trip has taken over 60 ms for 250 ms, the instance counts as late, as it does for its processor. If others refuse or there are none, that says nothing; an instance that is cut off from targets reaches the others in time and stays as it is.

--- a/forward/client.go
+++ b/forward/client.go
@@ -49,6 +49,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnHandover, if set, is called with the outcome of each attempt to hand a request over.
 	OnHandover func(outcome string)
+	// OnDialed, if set, is called with the time that it took to open a connection to a target, or that it took to fail.
+	OnDialed func(took time.Duration)
 
 	links     *links
 	peers     peers
@@ -59,7 +61,7 @@
 func (c *Client) Init() {
 	c.links = newLinks(c.Clock, c.Log)
 	c.peers.clock = c.Clock
-	c.Direct.OnDial = c.links.dialed
+	c.Direct.OnDial = c.dialed
 	dial := c.Dial
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: peerDialTimeout}
@@ -72,6 +74,14 @@
 	}
 }
 
+// dialed follows the connections of Direct.
+func (c *Client) dialed(address string, took time.Duration, err error) {
+	c.links.dialed(address, took, err)
+	if c.OnDialed != nil {
+		c.OnDialed(took)
+	}
+}
+
 // LinksDown returns how many targets this instance doesn't reach that other instances reach.
 func (c *Client) LinksDown() int { return c.links.countDown() }
 
--- a/node/build.go
+++ b/node/build.go
@@ -91,9 +91,12 @@
 	n.gate = &overload.Gate{
 		Clock: n.Clock, Log: logger,
 		Meter: &overload.Meter{
-			Clock: n.Clock, Log: logger, Processor: n.Processor, OnMeasured: n.metrics.ProcessorDelayed,
+			Clock: n.Clock, Log: logger, Processor: n.Processor, OnMeasured: n.metrics.ProcessorDelayed, Peers: n.nearPeers,
 		},
 	}
+	if _, system := n.Sockets.(*systemSockets); !system {
+		n.gate.Meter.Dial = n.Sockets.Dial
+	}
 	n.callers.Gate = n.gate
 	n.metrics.Gauge("shelf_connections_limit", n.gate.Limit)
 }
@@ -132,7 +135,7 @@
 	logger := n.Log.WithPrefix("forward")
 	n.forward = &forward.Client{
 		Clock: n.Clock, Log: logger, Codec: n.Platform.Codec, Direct: n.upstream, Peers: n.forwardPeers, Controls: n.controlTargets,
-		OnHandover: n.metrics.HandoverEnded,
+		OnHandover: n.metrics.HandoverEnded, OnDialed: n.gate.Meter.Dialed,
 	}
 	if _, system := n.Sockets.(*systemSockets); !system {
 		n.forward.Dial = n.Sockets.Dial
--- a/node/forward.go
+++ b/node/forward.go
@@ -21,6 +21,15 @@
 	return peers
 }
 
+// nearPeers returns the addresses of the other live instances of this data centre, or of others if there are none.
+func (n *Node) nearPeers() []string {
+	local, remote := n.gossip.LivePeers()
+	if len(local) == 0 {
+		return slices.Clone(remote)
+	}
+	return slices.Clone(local)
+}
+
 // maxControls is how many targets are tried to find out whether the links of this instance work.
 const maxControls = 3
 
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -1,7 +1,8 @@
 // Package overload bounds what an instance reads of its callers by what it serves in time.
 //
-// A Meter measures how long work that is ready waits for the processor, and tells whether the instance is late. It
-// measures when connections or requests arrive, and goes on while work is late; an idle instance measures nothing.
+// A Meter measures how long work that is ready waits for the processor, and how long round trips to other instances
+// take, and tells whether the instance is late. It measures when connections or requests arrive, and goes on while the
+// instance is late; an idle one measures nothing.
 // A Gate decides by that when new connections are taken, and a Listener closes the address for callers meanwhile, so
 // that they are refused at once and try another instance. What has been read is never given up for it.
 //
--- a/overload/meter.go
+++ b/overload/meter.go
@@ -1,6 +1,8 @@
 package overload
 
 import (
+	"context"
+	"net"
 	"runtime"
 	"sync"
 	"time"
@@ -24,8 +26,9 @@
 	idlePeriod = time.Second
 )
 
-// Meter measures how long work waits for the processor. The instance is late if it has waited too long for a while.
-// Its fields are set before use. It is safe for concurrent use.
+// Meter measures how long work waits for the processor and, where connections to targets are slow, how long round trips
+// to other instances take. The instance is late if either has taken too long for a while. Its fields are set before use.
+// It is safe for concurrent use.
 type Meter struct {
 	Clock shelfshelf.Clock
 	Log   *log.Logger
@@ -33,10 +36,15 @@
 	Processor shelfshelf.Processor
 	// OnMeasured, if set, is called with each delay.
 	OnMeasured func(delay time.Duration)
+	// Peers returns the addresses of other instances, of the own data centre if there are any.
+	Peers func() []string
+	// Dial opens a connection to another instance. If nil, the operating system's dialer is used.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu sync.Mutex
-	// work is what is measured of the processor.
-	work series
+	// work is what is measured of the processor, and trips what is measured of the links.
+	work  series
+	trips series
 	// usedAt is when the instance last had something to do.
 	usedAt time.Time
 }
@@ -174,7 +182,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
-	return m.work.late(now), m.work.excess(now) > 0
+	late = max(m.work.late(now), m.trips.late(now))
+	return late, m.work.excess(now) > 0 || m.trips.excess(now) > 0
 }
 
 // IsLate reports whether the instance is late.
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -1,6 +1,7 @@
 package overload_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -60,7 +61,7 @@
 func newGate() (*overload.Gate, *processor) {
 	p := &processor{}
 	clock, logger := clockwork.NewRealClock(), log.New(io.Discard)
-	meter := &overload.Meter{Clock: clock, Log: logger, Processor: p}
+	meter := &overload.Meter{Clock: clock, Log: logger, Processor: p, Peers: func() []string { return nil }}
 	return &overload.Gate{Clock: clock, Log: logger, Meter: meter}, p
 }
 
@@ -136,6 +137,68 @@
 	})
 }
 
+// errGone is what a peer answers that takes no connections.
+var errGone = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+
+// newLinked returns a meter whose other instances answer after the times given, in turn; a negative one refuses.
+func newLinked(answers ...time.Duration) *overload.Meter {
+	peers := make([]string, len(answers))
+	byAddress := make(map[string]time.Duration)
+	for i, answer := range answers {
+		peers[i] = string(rune('a' + i))
+		byAddress[peers[i]] = answer
+	}
+	return &overload.Meter{
+		Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Processor: &processor{},
+		Peers: func() []string { return append([]string(nil), peers...) },
+		Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			answer := byAddress[address]
+			if answer < 0 {
+				return nil, errGone
+			}
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(answer):
+				here, _ := net.Pipe()
+				return here, nil
+			}
+		},
+	}
+}
+
+// Slow connections to targets show that the own links are late only if those to other instances are slow too.
+func TestLinksAreLateIfNoInstanceAnswersInTime(t *testing.T) {
+	cases := map[string]struct {
+		answers []time.Duration
+		late    bool
+	}{
+		"all slow":           {answers: []time.Duration{150 * time.Millisecond, 200 * time.Millisecond, 150 * time.Millisecond}, late: true},
+		"none answers":       {answers: []time.Duration{time.Hour, time.Hour, time.Hour}, late: true},
+		"one in time":        {answers: []time.Duration{time.Hour, 20 * time.Millisecond, time.Hour}},
+		"all refuse":         {answers: []time.Duration{-1, -1, -1}},
+		"no others":          {},
+		"of the next region": {answers: []time.Duration{26 * time.Millisecond, 26 * time.Millisecond}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newLinked(c.answers...)
+				late := false
+				for range 100 {
+					m.Dialed(150 * time.Millisecond)
+					time.Sleep(10 * time.Millisecond)
+					late = late || m.IsLate()
+				}
+				if late != c.late {
+					t.Errorf("late: %v", late)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // While the address is closed, callers are refused at once; it is the same one after that, and closing ends Accept.
 func TestLateInstancesRefuseAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
