overload, slots, upstream, forward: an instance's own lateness isn't taken for others' faults

What callers saw: at the crowded weak instance most failed attempts were connections that had timed out (1,214 of 1,438), to targets that were sound; targets, links and owners of slots were then set aside, here and by report elsewhere, and each such failure cost exchanges with other instances on top.

Cause: time limits on others' answers run while the answer already waits for this instance's processor or links. Class: what an instance sees is taken for the state of the other side (docs/incidents/cut-off-from-targets.md).

Change: a late instance allows others more time, twice the wait for its processor and once the round trip that it measures, up to 300 ms: connections to targets, slot answers, and until an owner counts as unresponsive. A connection that takes too long all the same while the instance is late is a failure of its own link, which blames no target, and isn't handed over. A refused one still is the target's.

Tests, each failed before (TestLateInstancesAwaitTheirOwners: pending and skipped; AwaitTheirConnections: not run; BlameNobody: one run handed over, one link down): they pass. TestLateInstancesAllowOthersMoreTime.

--- a/forward/client.go
+++ b/forward/client.go
@@ -45,6 +45,9 @@
 	// Controls returns some other targets of a target's pool, or of other pools if it has none, to find out
 	// whether the links of this instance work.
 	Controls func(target shelfshelf.Target) []shelfshelf.Target
+	// Late reports whether this instance is late itself, so that a connection that took too long says nothing of its
+	// target; nil means never.
+	Late func() bool
 	// Dial opens connections to other instances. If nil, the operating system's dialer is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnHandover, if set, is called with the outcome of each attempt to hand a request over.
@@ -130,6 +133,9 @@
 		// The caller has gone, which says nothing of the target.
 		return nil, err
 	}
+	if c.isLate() && !isRefused(err) {
+		return nil, &unsentError{cause: errOwnLateness}
+	}
 	if ctx.Err() == nil {
 		handed, handErr := c.handOver(ctx, request, quickHandover)
 		if handErr == nil {
@@ -140,6 +146,8 @@
 	return nil, err
 }
 
+func (c *Client) isLate() bool { return c.Late != nil && c.Late() }
+
 // openDirectly opens a connection to the target itself.
 func (c *Client) openDirectly(ctx context.Context, address string, fresh bool) (connection, error) {
 	reserved, err := c.Direct.Reserve(ctx, address, fresh)
--- a/forward/errors.go
+++ b/forward/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"syscall"
 
@@ -13,6 +14,9 @@
 // errPeerBroke means that the exchange with another instance broke off, for whatever reason.
 var errPeerBroke = eris.New("the other instance broke off")
 
+// errOwnLateness means that a connection took too long while this instance was late itself.
+var errOwnLateness = fmt.Errorf("this instance is late: %w", shelfshelf.ErrOwnLink)
+
 // unsentError reports a request that was certainly not sent to its target.
 type unsentError struct {
 	cause error
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -311,6 +311,32 @@
 	}
 }
 
+// An instance that is late itself takes a connection that took too long neither for the target's fault nor for its
+// link's, and doesn't ask others: each of its failures took several exchanges more.
+func TestLateInstancesBlameNobody(t *testing.T) {
+	p := newPair(t, func(http.ResponseWriter, *http.Request) {})
+	late := true
+	p.client.Late = func() bool { return late }
+	p.client.Direct.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	_, err := p.send(context.Background(), nil)
+	if !errors.Is(err, shelfshelf.ErrOwnLink) || !errors.Is(err, shelfshelf.ErrNotRun) {
+		t.Error(err)
+	}
+	if p.runs.Load() != 0 || p.client.LinksDown() != 0 {
+		t.Errorf("%d runs, %d links down", p.runs.Load(), p.client.LinksDown())
+	}
+	late = false
+	if _, err := p.send(context.Background(), nil); err != nil {
+		t.Error(err)
+	}
+	if p.runs.Load() != 1 {
+		t.Errorf("%d runs", p.runs.Load())
+	}
+}
+
 // An instance that reaches some targets tells a target that has ended from links that fail, though another one
 // has ended too.
 func TestEndedTargetsAreToldFromLinksThatFail(t *testing.T) {
--- a/node/build.go
+++ b/node/build.go
@@ -112,7 +112,7 @@
 		},
 	}
 	n.crashKeeper.Init()
-	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec, OnAnswer: n.words.ObserveResponse}
+	n.upstream = &upstream.Client{Clock: n.Clock, Codec: n.Platform.Codec, OnAnswer: n.words.ObserveResponse, Allowance: n.gate.Meter.Allowance}
 	if _, system := n.Sockets.(*systemSockets); !system {
 		n.upstream.Dial = n.Sockets.Dial
 	}
@@ -135,7 +135,7 @@
 	logger := n.Log.WithPrefix("forward")
 	n.forward = &forward.Client{
 		Clock: n.Clock, Log: logger, Codec: n.Platform.Codec, Direct: n.upstream, Peers: n.forwardPeers, Controls: n.controlTargets,
-		OnHandover: n.metrics.HandoverEnded, OnDialed: n.gate.Meter.Dialed,
+		OnHandover: n.metrics.HandoverEnded, OnDialed: n.gate.Meter.Dialed, Late: n.gate.Meter.IsLate,
 	}
 	if _, system := n.Sockets.(*systemSockets); !system {
 		n.forward.Dial = n.Sockets.Dial
--- a/node/crowded_world_test.go
+++ b/node/crowded_world_test.go
@@ -367,6 +367,12 @@
 	p.t.Logf("calm %v", &p.calm)
 	p.t.Logf("crowd %v; %d times an instance was taken out", &p.during, p.changes)
 	p.t.Logf("after %v", &p.after)
+	p.t.Logf("%d times an owner of slots was skipped", len(p.log.Lines("Slot owner does not respond")))
+	for _, blame := range []string{"A target gets no requests for a while", "The link to a target is down"} {
+		if lines := p.log.Lines(blame); len(lines) > 0 {
+			p.t.Errorf("%d times, no target and no link is at fault: %s", len(lines), lines[0])
+		}
+	}
 	if p.during.share() < leastCrowdShare*p.calm.share() {
 		p.t.Errorf("crowd: %d of %d were served at the first try that was read, %d of %d before", p.during.served, p.during.read, p.calm.served, p.calm.read)
 	}
--- a/node/places.go
+++ b/node/places.go
@@ -27,7 +27,7 @@
 		Log:        n.Log.WithPrefix("places"),
 		Self:       slots.Holder{Address: address, Incarnation: n.gossip.Incarnation},
 		Candidates: n.gossip.Members, FallbackCandidates: n.gossip.SubstituteMembers,
-		Send: n.gossip.SendDatagram,
+		Send: n.gossip.SendDatagram, Allowance: n.gate.Meter.Allowance,
 	}
 	n.places.OnAnnouncement = func(told shelfshelf.TargetAnnouncement) { n.words.Merge([]shelfshelf.TargetAnnouncement{told}) }
 	n.places.Table = &slots.SlotTable{Clock: n.Clock, Capacity: n.capacity, RateLimit: n.pacing, SendGrant: n.places.SendGrant, OnBackoff: n.logBackoff}
--- a/overload/meter.go
+++ b/overload/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"runtime"
 	"sync"
@@ -22,6 +23,10 @@
 	lateAfter = 250 * time.Millisecond
 	// probeInterval is the pause between two measurements while work is late.
 	probeInterval = 10 * time.Millisecond
+	// peakHalfLife is the half-life of the longest measurement.
+	peakHalfLife = 200 * time.Millisecond
+	// maxAllowance bounds how much longer others may take to answer while this instance is late.
+	maxAllowance = 300 * time.Millisecond
 	// idlePeriod is after how long without a connection or a request measurements end.
 	idlePeriod = time.Second
 )
@@ -63,6 +68,9 @@
 	longest     time.Duration
 	// logged says that the log tells that the series shows that the instance is late.
 	logged bool
+	// peak is the longest of all measurements as of peakAt, from which it decays.
+	peak   time.Duration
+	peakAt time.Time
 }
 
 // start begins a measurement.
@@ -73,6 +81,7 @@
 // end ends the current measurement. The series goes on while they are above the bound.
 func (s *series) end(now time.Time) {
 	took := now.Sub(s.began)
+	s.peak, s.peakAt = max(took, s.decayedPeak(now)), now
 	if took <= s.bound {
 		s.reset()
 		return
@@ -90,6 +99,12 @@
 	s.excessSince, s.excessUntil, s.longest = time.Time{}, time.Time{}, 0
 }
 
+// decayedPeak returns what is left of the longest measurement.
+func (s *series) decayedPeak(now time.Time) time.Duration {
+	left := math.Exp2(-float64(now.Sub(s.peakAt)) / float64(peakHalfLife))
+	return time.Duration(float64(s.peak) * left)
+}
+
 // current returns how long the current measurement takes so far.
 func (s *series) current(now time.Time) time.Duration {
 	if !s.running {
@@ -118,6 +133,11 @@
 	return 0
 }
 
+// expected returns how long a measurement is expected to take at most.
+func (s *series) expected(now time.Time) time.Duration {
+	return max(s.decayedPeak(now), s.current(now))
+}
+
 // Measure begins a measurement of the processor unless one is under way.
 func (m *Meter) Measure() {
 	m.mu.Lock()
@@ -192,6 +212,15 @@
 	return late > 0
 }
 
+// Allowance returns how much longer others may take to answer because this instance is late itself: a request and
+// its answer each wait for the processor, and both for the links.
+func (m *Meter) Allowance() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	return min(2*m.work.expected(now)+m.trips.expected(now), maxAllowance)
+}
+
 // logChange logs that the instance has become late, or no longer is. The caller must hold m.mu.
 func (m *Meter) logChange(s *series, what string, now time.Time) {
 	late := s.late(now)
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -199,6 +199,30 @@
 	}
 }
 
+// Others are given more time while an instance is late, up to a bound, and no more soon after.
+func TestLateInstancesAllowOthersMoreTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGate()
+		if allowed := g.Meter.Allowance(); allowed != 0 {
+			t.Errorf("%v before it measured", allowed)
+		}
+		p.busyFor(300*time.Millisecond, 50*time.Millisecond)
+		come(g, 300*time.Millisecond, 100)
+		if allowed := g.Meter.Allowance(); allowed < 80*time.Millisecond || allowed > 200*time.Millisecond {
+			t.Errorf("%v while work waits for 50 ms", allowed)
+		}
+		p.busyFor(time.Second, 400*time.Millisecond)
+		come(g, time.Second, 100)
+		if allowed := g.Meter.Allowance(); allowed != 300*time.Millisecond {
+			t.Errorf("%v while work waits for 400 ms", allowed)
+		}
+		come(g, 3*time.Second, 100)
+		if allowed := g.Meter.Allowance(); allowed > time.Millisecond {
+			t.Errorf("%v after it is in time again", allowed)
+		}
+	})
+}
+
 // While the address is closed, callers are refused at once; it is the same one after that, and closing ends Accept.
 func TestLateInstancesRefuseAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/slots/client.go
+++ b/slots/client.go
@@ -41,6 +41,8 @@
 	FallbackCandidates func(shelfshelf.DataCentre) []shelfshelf.Member
 	// OnAnnouncement receives what the sender of a slot request knows of the announcements of its target.
 	OnAnnouncement func(shelfshelf.TargetAnnouncement)
+	// Allowance returns how much longer an answer may take because this instance is late itself; nil means no longer.
+	Allowance func() time.Duration
 	// Send sends a datagram. The next sync makes up for lost ones.
 	Send func(to netip.AddrPort, content []byte)
 
@@ -92,12 +94,19 @@
 		}
 		return answer
 	case <-ctx.Done():
-	case <-c.Clock.After(answerTimeout):
+	case <-c.Clock.After(answerTimeout + c.allowance()):
 	}
 	c.logSkippedOwner(owner)
 	return c.detachAnswer(id, answers)
 }
 
+func (c *Client) allowance() time.Duration {
+	if c.Allowance == nil {
+		return 0
+	}
+	return c.Allowance()
+}
+
 // detachAnswer keeps a request open whose answer is late. A slot granted from now on is sent to the
 // granted channel.
 func (c *Client) detachAnswer(id shelfshelf.SlotID, answers <-chan shelfshelf.SlotResponse) shelfshelf.SlotResponse {
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -77,6 +77,25 @@
 	})
 }
 
+// An instance that is late itself awaits answers for longer, and doesn't take its owners for unresponsive: it would ask
+// eight of them for each request and have each of their slots returned.
+func TestLateInstancesAwaitTheirOwners(t *testing.T) {
+	inNetwork(t, 2, func(ctx context.Context, net *network) {
+		requester := net.clients[addressOf(1)]
+		requester.Allowance = func() time.Duration { return 200 * time.Millisecond }
+		target, owner := targetOwnedElsewhere(requester)
+		net.setDelay(100 * time.Millisecond)
+		granted := make(chan shelfshelf.SlotID, 9)
+		got := requester.Request(ctx, requestFor(target, time.Second), granted)
+		if got.Outcome != shelfshelf.SlotGranted {
+			t.Errorf("%+v", got)
+		}
+		if still, _ := requester.respondingOwner(target, ""); still != owner {
+			t.Errorf("%s was skipped for %s", owner, still)
+		}
+	})
+}
+
 // A slot that is granted after answerTimeout is delivered like one from the queue, and can be
 // released.
 func TestLateGrantsAreDelivered(t *testing.T) {
--- a/slots/owner.go
+++ b/slots/owner.go
@@ -97,7 +97,7 @@
 	if pending == nil {
 		return false
 	}
-	elapsed := now.Sub(pending.since)
+	elapsed := now.Sub(pending.since) - c.allowance()
 	return elapsed >= ownerTimeout && elapsed < ownerTimeout+ownerSkipPeriod
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -90,6 +90,9 @@
 	// OnDial, if set, is called after each attempt to open a connection, with the time that it took and the
 	// error if it failed. It is not called if the caller ended the attempt.
 	OnDial func(address string, took time.Duration, err error)
+	// Allowance returns how much longer a connection may take because this instance is late itself; nil means no
+	// longer.
+	Allowance func() time.Duration
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -147,7 +150,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	limited, cancel := context.WithTimeout(ctx, DialTimeout)
+	limited, cancel := context.WithTimeout(ctx, DialTimeout+c.allowance())
 	defer cancel()
 	began := c.Clock.Now()
 	connection, err := c.dialLimited(limited, address)
@@ -157,6 +160,13 @@
 	return connection, err
 }
 
+func (c *Client) allowance() time.Duration {
+	if c.Allowance == nil {
+		return 0
+	}
+	return c.Allowance()
+}
+
 func (c *Client) dialLimited(ctx context.Context, address string) (net.Conn, error) {
 	if c.Dial != nil {
 		return c.Dial(ctx, "tcp", address)
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -182,6 +182,29 @@
 	}
 }
 
+// An instance that is late itself gives connections more time.
+func TestLateInstancesAwaitTheirConnections(t *testing.T) {
+	s := startServer(t, func(_, _ int, id string) (string, bool) { return okResponse(id, "x"), true })
+	client := newClient()
+	defer closeAll(client)
+	client.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(upstream.DialTimeout + 30*time.Millisecond):
+		}
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, network, address)
+	}
+	if _, err := send(context.Background(), client, s.address(), "r"); !errors.Is(err, shelfshelf.ErrNotRun) {
+		t.Error(err)
+	}
+	client.Allowance = func() time.Duration { return 300 * time.Millisecond }
+	if body, err := send(context.Background(), client, s.address(), "r"); err != nil || body != "x" {
+		t.Error(body, err)
+	}
+}
+
 // A late response to another request precedes the expected one and is skipped.
 func TestUnmatchedResponsesAreSkipped(t *testing.T) {
 	s := startServer(t, func(_, _ int, id string) (string, bool) {
