overload: an instance counts as late from a wait of 20 ms on, and limits grow at one pace

What fails are requests whose time for a slot was over (568 of 2,970), while each of their 20 turns waited for up to 30 ms.

Change: the bound is 20 ms. The smallest limit is 16 a second.

--- a/overload/gate.go
+++ b/overload/gate.go
@@ -18,15 +18,12 @@
 	window       = 25 * time.Millisecond
 	// lateShare is how much an instance that was late takes afterwards, as a part of the rate at which it became late.
 	lateShare = 0.5
-	// growthInterval is how often the limit grows while the instance is in time: by fastGrowth up to safeShare of the
-	// rate at which it last became late, and by slowGrowth from there on, since too high a rate takes up to a second
-	// to show.
+	// growthInterval is how often the limit is multiplied by growthFactor while the instance is in time. Too high a
+	// rate takes up to a second to show.
 	growthInterval = 100 * time.Millisecond
-	fastGrowth     = 1.15
-	slowGrowth     = 1.02
-	safeShare      = 0.75
+	growthFactor   = 1.04
 	// minLimit is the smallest limit, in connections per second.
-	minLimit = 8
+	minLimit = 16
 	// unusedPeriod is after how long a limit ends that holds nobody back.
 	unusedPeriod = time.Second
 	// burstPeriod is the time within which the connections of a limit may come at once.
@@ -46,12 +43,11 @@
 	mu sync.Mutex
 	// lateSince is when the instance became late; zero while it is not.
 	lateSince time.Time
-	// limit is in connections per second; 0 means none. changedAt is when it last changed, heldBackAt when it last
-	// held a connection back, and lateRate the rate at which the instance last became late.
+	// limit is in connections per second; 0 means none. changedAt is when it last changed, and heldBackAt when it last
+	// held a connection back.
 	limit      float64
 	changedAt  time.Time
 	heldBackAt time.Time
-	lateRate   float64
 	// tokens are the connections that may be taken at once as of tokensAt.
 	tokens   float64
 	tokensAt time.Time
@@ -151,25 +147,17 @@
 		g.limit = 0
 		g.Log.Info("New connections are taken without a limit again.")
 	case now.Sub(g.changedAt) >= growthInterval:
-		g.grow(now)
+		g.limit *= growthFactor
+		g.changedAt = now
 	}
 }
 
 func (g *Gate) becomeLate(now time.Time, late time.Duration) {
-	g.lateRate = g.limit
+	rate := g.limit
 	if g.limit == 0 {
-		g.lateRate = g.takenLately(now) / rateMemory.Seconds()
+		rate = g.takenLately(now) / rateMemory.Seconds()
 	}
-	g.limit = max(g.lateRate*lateShare, minLimit)
+	g.limit = max(rate*lateShare, minLimit)
 	g.lateSince = now
-	g.Log.Info("Hardly any new connections are taken: this instance is late.", "since", late, "taken", g.lateRate)
-}
-
-func (g *Gate) grow(now time.Time) {
-	factor := slowGrowth
-	if g.limit*fastGrowth <= safeShare*g.lateRate {
-		factor = fastGrowth
-	}
-	g.limit *= factor
-	g.changedAt = now
+	g.Log.Info("Hardly any new connections are taken: this instance is late.", "since", late, "perSecond", rate)
 }
--- a/overload/meter.go
+++ b/overload/meter.go
@@ -16,7 +16,7 @@
 const (
 	// maxDelay is how long work may wait for the processor. A request takes some 20 turns, and a slot answer
 	// is awaited for 40 ms.
-	maxDelay = 30 * time.Millisecond
+	maxDelay = 20 * time.Millisecond
 	// lateAfter is for how long measurements have to be above their bound before the instance counts as late. A
 	// processor that is given as a share of each tenth of a second stands still for most of one, and a few long
 	// prompts fill a link of 10 Mbit/s for 150 ms.
