node: instances under test in real time have processors of their own

Their meters would measure the test's whole process, in which hundreds of simulated instances run beside them: on a loaded machine one of them could count as late and refuse the test's callers. Not seen; the fake processor takes no time. The meter itself is tested in simulated time, and by processes in test/live and test/soak.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -185,6 +185,8 @@
 	n := &running{callers: fake.Address(), ready: fake.Address(), peer: fake.Address(), ended: make(chan struct{})}
 	instance := &node.Node{
 		Clock: f.clock,
+		// Hundreds of other instances run in the test's process, whose work isn't that of this one.
+		Processor: &fake.Processor{Clock: f.clock},
 		Log:   log.NewWithOptions(f.log, log.Options{Formatter: log.JSONFormatter}),
 		Settings: &settings.Node{
 			Instance: shelfshelf.InstanceID(fmt.Sprint("n", len(f.nodes))), DataCentre: centre,
