--- a/node/crowded_world_test.go
+++ b/node/crowded_world_test.go
@@ -64,7 +64,7 @@
 type crowded struct {
 	*limited
 	crowdCase
-	// at is the instance that gets the most connections now; -1 while none does.
+	// crowdAt is the instance that gets the most connections now; -1 while none does.
 	crowdAt int
 	// misses counts how often in a row an instance was not ready when asked; two take it out.
 	misses []int
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -187,7 +187,7 @@
 		Clock: f.clock,
 		// Hundreds of other instances run in the test's process, whose work isn't that of this one.
 		Processor: &fake.Processor{Clock: f.clock},
-		Log:   log.NewWithOptions(f.log, log.Options{Formatter: log.JSONFormatter}),
+		Log:       log.NewWithOptions(f.log, log.Options{Formatter: log.JSONFormatter}),
 		Settings: &settings.Node{
 			Instance: shelfshelf.InstanceID(fmt.Sprint("n", len(f.nodes))), DataCentre: centre,
 			Callers: n.callers, Ready: n.ready, Peer: n.peer, Store: store.URL, Descriptors: f.descriptors,
