overload: under a limit the address is opened eight times a second, not for each connection

What callers saw: with a whole region at one weak instance (1,300 tries a second, retries included) the instance became late again and again: 466 of 200 in 14 s, 4,124 connections reset, 1,375 tries that were connected and never answered.

Cause: the address was opened for a token, that is up to a hundred times a second. What is on its way as it closes again is reset, and its request has filled the link all the same.

Change: once the tokens are used up, the address stays closed until those of 125 ms are there.

--- a/overload/gate.go
+++ b/overload/gate.go
@@ -26,8 +26,9 @@
 	minLimit = 16
 	// unusedPeriod is after how long a limit ends that holds nobody back.
 	unusedPeriod = time.Second
-	// burstPeriod is the time within which the connections of a limit may come at once.
-	burstPeriod = 50 * time.Millisecond
+	// openPeriod is how often the address is opened under a limit, for the connections of that time. Those that are on
+	// their way as it is closed again are lost, so that it isn't opened for each.
+	openPeriod = 125 * time.Millisecond
 	// rateMemory is the time constant of the rate at which connections were taken.
 	rateMemory = 400 * time.Millisecond
 )
@@ -51,6 +52,8 @@
 	// tokens are the connections that may be taken at once as of tokensAt.
 	tokens   float64
 	tokensAt time.Time
+	// usedUp says that the tokens were used up, and aren't enough yet for another period.
+	usedUp bool
 	// taken is the decayed number of connections that were taken, as of takenAt.
 	taken   float64
 	takenAt time.Time
@@ -90,16 +93,20 @@
 	return 0, windowPeriod - in
 }
 
-// nextToken returns when the limit allows a connection. The caller must hold g.mu.
+// nextToken returns when the limit allows connections. The caller must hold g.mu.
 func (g *Gate) nextToken(now time.Time) time.Duration {
-	burst := max(1, g.limit*burstPeriod.Seconds())
-	g.tokens = min(g.tokens+g.limit*now.Sub(g.tokensAt).Seconds(), burst)
+	batch := max(1, g.limit*openPeriod.Seconds())
+	g.tokens = min(g.tokens+g.limit*now.Sub(g.tokensAt).Seconds(), batch)
 	g.tokensAt = now
-	if g.tokens >= 1 {
+	if g.tokens < 1 {
+		g.usedUp = true
+	}
+	if !g.usedUp || g.tokens >= batch {
+		g.usedUp = false
 		return 0
 	}
 	g.heldBackAt = now
-	return time.Duration((1 - g.tokens) / g.limit * float64(time.Second))
+	return time.Duration((batch - g.tokens) / g.limit * float64(time.Second))
 }
 
 // Taken records that a connection was taken.
