overload: callers that come without a pause don't keep the address of a late instance open

Found by asking of the change what happens if everybody takes it at once.

Cause: connections that wait as the address closes are taken all the same, each within a millisecond of its own. At 10,000 a second there is always the next one.

Change: they are taken for one millisecond in all, then the address is closed whatever waits.

TestCrowdsWithoutAPauseAreRefused: before, 0 of 10,000 connections within a second were refused by a late instance; now over half are.

--- a/overload/listener.go
+++ b/overload/listener.go
@@ -15,7 +15,7 @@
 // checkInterval is how often it is checked whether the address may be opened again.
 const checkInterval = 20 * time.Millisecond
 
-// pendingTime is how long to look for connections that wait to be taken.
+// pendingTime is for how long connections are taken that wait as the address closes.
 const pendingTime = time.Millisecond
 
 // deadliner is a listener that can stop waiting, as those of the operating system can.
@@ -36,9 +36,11 @@
 
 	mu sync.Mutex
 	// open is the open address; nil while it is closed.
-	open  net.Listener
-	ended chan struct{}
-	once  sync.Once
+	open net.Listener
+	// closesAt is when the address is closed whatever still waits; zero while it isn't about to be. Accept alone uses it.
+	closesAt time.Time
+	ended    chan struct{}
+	once     sync.Once
 }
 
 // Open opens the address for the first time.
@@ -58,6 +60,7 @@
 				return conn, nil
 			}
 			l.suspend()
+			l.closesAt = time.Time{}
 			l.pause(min(wait, checkInterval))
 			continue
 		}
@@ -76,7 +79,8 @@
 	return nil, net.ErrClosed
 }
 
-// acceptPending returns a connection that waits to be taken; nil if there is none.
+// acceptPending returns a connection that waits to be taken; nil if there is none, or once pendingTime is over: a crowd
+// without a pause would keep the address open.
 func (l *Listener) acceptPending() net.Conn {
 	l.mu.Lock()
 	open := l.open
@@ -84,7 +88,14 @@
 	if open == nil {
 		return nil
 	}
-	conn, err := l.acceptWithin(open, pendingTime)
+	now := l.Clock.Now()
+	if l.closesAt.IsZero() {
+		l.closesAt = now.Add(pendingTime)
+	}
+	if !now.Before(l.closesAt) {
+		return nil
+	}
+	conn, err := l.acceptWithin(open, l.closesAt.Sub(now))
 	if err != nil {
 		return nil
 	}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -223,6 +223,49 @@
 	})
 }
 
+// Callers that come without a pause don't keep the address open: each of them that was there already was taken as it
+// closed, and by then there was the next.
+func TestCrowdsWithoutAPauseAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGate()
+		network := fake.NewNetwork(g.Clock)
+		listener := &overload.Listener{
+			Clock: g.Clock, Log: g.Log, Gate: g, Address: "10.0.0.1:80", Listen: network.Machine("10.0.0.1").Listen,
+		}
+		if err := listener.Open(); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_ = conn.Close()
+			}
+		}()
+		dial := network.Machine("10.0.0.2").Dial
+		p.busyFor(2*time.Second, 100*time.Millisecond)
+		refused := 0
+		for range 10000 {
+			conn, err := dial(t.Context(), "tcp", "10.0.0.1:80")
+			if err == nil {
+				_ = conn.Close()
+			} else {
+				refused++
+			}
+			time.Sleep(100 * time.Microsecond)
+		}
+		if refused < 5000 {
+			t.Errorf("%d of 10,000 were refused within a second", refused)
+		}
+		if err := listener.Close(); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // While the address is closed, callers are refused at once; it is the same one after that, and closing ends Accept.
 func TestLateInstancesRefuseAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
