overload: a late instance takes four connections of each window, not all that come within it

Found by asking what happens if everybody takes it at once. What callers would have seen: an instance that is late takes a tenth of whatever comes, which at ten times a crowd that it bears is as much as it bears in time, so that it stays late.

Cause: the window in which a late instance takes connections was bounded by time only.

Change: it ends with the fourth connection, so that a late instance takes at most 16 a second and those that wait as the address closes. It is there to take some, as the platform expects.

--- a/overload/gate.go
+++ b/overload/gate.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// windowPeriod is how often a late instance takes connections, and window for how long. The platform expects an
-	// instance that calls itself ready to take some.
+	// windowPeriod is how often a late instance takes connections, window for how long, and windowLimit how many. The
+	// platform expects an instance that calls itself ready to take some.
 	windowPeriod = 250 * time.Millisecond
 	window       = 25 * time.Millisecond
+	windowLimit  = 4
 	// lateShare is how much an instance that was late takes afterwards, as a part of the rate at which it became late.
 	lateShare = 0.5
 	// growthInterval is how often the limit is multiplied by growthFactor while the instance is in time. Too high a
@@ -44,6 +45,9 @@
 	mu sync.Mutex
 	// lateSince is when the instance became late; zero while it is not.
 	lateSince time.Time
+	// windowTaken counts the connections that were taken in the window with the number windowNumber since then.
+	windowNumber int
+	windowTaken  int
 	// limit is in connections per second; 0 means none. changedAt is when it last changed, and heldBackAt when it last
 	// held a connection back.
 	limit      float64
@@ -86,9 +90,17 @@
 func (g *Gate) nextWindow(now time.Time) (wait, holds time.Duration) {
 	g.heldBackAt = now
 	// The first window comes at the end of the first period.
-	in := now.Sub(g.lateSince) % windowPeriod
-	if opens := windowPeriod - window; in < opens {
+	const opens = windowPeriod - window
+	late := now.Sub(g.lateSince)
+	in := late % windowPeriod
+	if number := int(late / windowPeriod); number != g.windowNumber {
+		g.windowNumber, g.windowTaken = number, 0
+	}
+	switch {
+	case in < opens:
 		return opens - in, 0
+	case g.windowTaken >= windowLimit:
+		return windowPeriod - in + opens, 0
 	}
 	return 0, windowPeriod - in
 }
@@ -119,6 +131,7 @@
 	g.takenAt = now
 	// Those that were on their way when the limit was reached are taken all the same, and count against later ones.
 	g.tokens = max(g.tokens-1, -g.limit)
+	g.windowTaken++
 }
 
 // takenLately returns the decayed number of connections that were taken. The caller must hold g.mu.
@@ -166,5 +179,6 @@
 	}
 	g.limit = max(rate*lateShare, minLimit)
 	g.lateSince = now
+	g.windowNumber, g.windowTaken = 0, 0
 	g.Log.Info("Hardly any new connections are taken: this instance is late.", "since", late, "perSecond", rate)
 }
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -123,6 +124,25 @@
 	})
 }
 
+// However large a crowd is, a late instance takes about as few of it.
+func TestLateInstancesTakeAsFewOfAnyCrowd(t *testing.T) {
+	for _, perSecond := range []int{400, 5000, 20000} {
+		t.Run(fmt.Sprint(perSecond, " a second"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, p := newGate()
+				come(g, time.Second, perSecond)
+				p.busyFor(3*time.Second, 100*time.Millisecond)
+				come(g, 500*time.Millisecond, perSecond)
+				taken, _ := come(g, 2*time.Second, perSecond)
+				if taken < 8 || taken > 80 {
+					t.Errorf("%d were taken in 2 s", taken)
+				}
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
 // A limit ends soon after the crowd has gone.
 func TestLimitsEndWithTheCrowd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
