overload: one long measurement doesn't make an instance late, since its process may have stood still

Found by asking what happens if a measurement is late itself. What callers would have seen: a machine that was frozen for some seconds, with nothing to do when it goes on, takes 16 connections a second and then slowly more, since hardly any had been taken lately.

Cause: a measurement that lasts over 250 ms counted as late by itself, whatever made it last.

Change: at least two measurements have to be above the bound, the current one included. Between two, none is current.

--- a/overload/meter.go
+++ b/overload/meter.go
@@ -58,13 +58,14 @@
 type series struct {
 	// bound is what a measurement may take.
 	bound time.Duration
-	// running says that measurements are made, and began when the current one began.
+	// running says that measurements are made, and began when the current one began; zero between two of them.
 	running bool
 	began   time.Time
 	// excessSince is when the first of the latest measurements began that were all above the bound, and excessUntil
-	// when the last of them ended; zero if the latest one was not.
+	// when the last of them ended; zero if the latest one was not. excessCount is how many they are.
 	excessSince time.Time
 	excessUntil time.Time
+	excessCount int
 	longest     time.Duration
 	// logged says that the log tells that the series shows that the instance is late.
 	logged bool
@@ -80,23 +81,26 @@
 
 // end ends the current measurement. The series goes on while they are above the bound.
 func (s *series) end(now time.Time) {
-	took := now.Sub(s.began)
+	began := s.began
+	took := now.Sub(began)
+	s.began = time.Time{}
 	s.peak, s.peakAt = max(took, s.decayedPeak(now)), now
 	if took <= s.bound {
 		s.reset()
 		return
 	}
 	if s.excessSince.IsZero() {
-		s.excessSince = s.began
+		s.excessSince = began
 	}
 	s.excessUntil = now
+	s.excessCount++
 	s.longest = max(s.longest, took)
 }
 
 // reset ends the measurements without a result.
 func (s *series) reset() {
-	s.running = false
-	s.excessSince, s.excessUntil, s.longest = time.Time{}, time.Time{}, 0
+	s.running, s.began = false, time.Time{}
+	s.excessSince, s.excessUntil, s.excessCount, s.longest = time.Time{}, time.Time{}, 0, 0
 }
 
 // decayedPeak returns what is left of the longest measurement.
@@ -107,7 +111,7 @@
 
 // current returns how long the current measurement takes so far.
 func (s *series) current(now time.Time) time.Duration {
-	if !s.running {
+	if s.began.IsZero() {
 		return 0
 	}
 	return now.Sub(s.began)
@@ -125,9 +129,14 @@
 	return until.Sub(since)
 }
 
-// late returns for how long the series has shown that the instance is late; 0 if it doesn't.
+// late returns for how long the series has shown that the instance is late; 0 if it doesn't. One measurement shows
+// nothing: the process may have stood still.
 func (s *series) late(now time.Time) time.Duration {
-	if excess := s.excess(now); excess >= lateAfter {
+	seen := s.excessCount
+	if s.current(now) > s.bound {
+		seen++
+	}
+	if excess := s.excess(now); seen > 1 && excess >= lateAfter {
 		return excess
 	}
 	return 0
