slots: a late instance awaits no answer for longer than its request may wait

Found by asking what happens if an answer comes late. What callers would have seen: at an instance that is late, a refusal up to 0.27 s after the request's own time for a slot was over, and trials of new versions, which have 20 ms, of 340 ms.

Cause: the time that is allowed to owners while an instance is late was added whatever the request had left.

Change: an answer is awaited for 40 ms as before, and longer only up to the request's own time.

TestAnswersAreAwaitedNoLongerThanTheirRequests: 340 ms before for requests of 20 and 170 ms; 40 and 170 ms now.

--- a/slots/client.go
+++ b/slots/client.go
@@ -94,12 +94,18 @@
 		}
 		return answer
 	case <-ctx.Done():
-	case <-c.Clock.After(answerTimeout + c.allowance()):
+	case <-c.Clock.After(c.answerTimeout(req)):
 	}
 	c.logSkippedOwner(owner)
 	return c.detachAnswer(id, answers)
 }
 
+// answerTimeout is how long the answer to a request is awaited: longer while this instance is late, but not longer than
+// the request may wait for a slot.
+func (c *Client) answerTimeout(req shelfshelf.SlotRequest) time.Duration {
+	return max(answerTimeout, min(answerTimeout+c.allowance(), req.MaxWait))
+}
+
 func (c *Client) allowance() time.Duration {
 	if c.Allowance == nil {
 		return 0
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -96,6 +96,25 @@
 	})
 }
 
+// However late an instance is, an answer isn't awaited for longer than its request may wait: a trial of a new version
+// has 20 ms, and a refusal goes out at once.
+func TestAnswersAreAwaitedNoLongerThanTheirRequests(t *testing.T) {
+	inNetwork(t, 2, func(ctx context.Context, net *network) {
+		requester := net.clients[addressOf(1)]
+		requester.Allowance = func() time.Duration { return 300 * time.Millisecond }
+		target, _ := targetOwnedElsewhere(requester)
+		net.setDelay(time.Second)
+		for _, wait := range []time.Duration{20 * time.Millisecond, 170 * time.Millisecond, time.Second} {
+			began := time.Now()
+			got := requester.Request(ctx, requestFor(target, wait), make(chan shelfshelf.SlotID, 9))
+			requester.Release(got.ID, false)
+			if took, most := time.Since(began), max(wait, answerTimeout); took > min(most, answerTimeout+300*time.Millisecond) {
+				t.Errorf("a request that may wait for %v awaited its answer for %v", wait, took)
+			}
+		}
+	})
+}
+
 // A slot that is granted after answerTimeout is delivered like one from the queue, and can be
 // released.
 func TestLateGrantsAreDelivered(t *testing.T) {
