overload: an instance whose address can't be opened again isn't ready

Found by asking what happens if closing and opening breaks midway. What callers would have seen: no connection at an instance that has run out of descriptors just then, while the balancer goes on to hand it theirs; and a log line each 20 ms.

Cause: before the gate the address was open for the life of the process, so that readiness didn't depend on it.

Change: while the address ought to be open and can't be, the instance isn't ready. It is tried each 20 ms; the beginning and the end are logged. An address that is closed because the instance is late is no such case.

--- a/node/node.go
+++ b/node/node.go
@@ -235,7 +235,7 @@
 	index, at := n.catalog.Index()
 	_, targetsAt := n.catalog.TargetsVersion()
 	known := index != nil && n.evacuations.Known() && n.Clock.Now().Sub(at) < n.leaseShare(readyShare) && !targetsAt.IsZero()
-	return known && !n.stopping.Load() && !n.crowd.Full()
+	return known && !n.stopping.Load() && !n.crowd.Full() && !n.callers.Failing()
 }
 
 func (n *Node) readyHandler() http.Handler {
--- a/overload/listener.go
+++ b/overload/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -39,8 +40,10 @@
 	open net.Listener
 	// closesAt is when the address is closed whatever still waits; zero while it isn't about to be. Accept alone uses it.
 	closesAt time.Time
-	ended    chan struct{}
-	once     sync.Once
+	// failing says that the address couldn't be opened again when that was last tried.
+	failing atomic.Bool
+	ended   chan struct{}
+	once    sync.Once
 }
 
 // Open opens the address for the first time.
@@ -65,8 +68,7 @@
 			continue
 		}
 		open, err := l.reopen()
-		if err != nil {
-			l.Log.Error("The address for callers could not be opened again.", "error", err)
+		if l.recordReopened(err); err != nil {
 			l.pause(checkInterval)
 			continue
 		}
@@ -140,6 +142,22 @@
 	return open, nil
 }
 
+// recordReopened records whether the address could be opened, and logs a change of that.
+func (l *Listener) recordReopened(err error) {
+	failing := err != nil && !l.hasEnded()
+	if l.failing.Swap(failing) == failing {
+		return
+	}
+	if failing {
+		l.Log.Error("The address for callers can't be opened again; this is tried on.", "error", err)
+		return
+	}
+	l.Log.Info("The address for callers is open again.")
+}
+
+// Failing reports whether the address ought to be open and can't be.
+func (l *Listener) Failing() bool { return l.failing.Load() }
+
 // suspend closes the address.
 func (l *Listener) suspend() {
 	l.mu.Lock()
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -245,6 +246,125 @@
 	})
 }
 
+// An address that can't be opened again is told, so that the instance isn't ready; it opens as soon as it can.
+func TestAddressesThatStayClosedAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGate()
+		network := fake.NewNetwork(g.Clock)
+		var failing atomic.Bool
+		listener := &overload.Listener{
+			Clock: g.Clock, Log: g.Log, Gate: g, Address: "10.0.0.1:80",
+			Listen: func(address string) (net.Listener, error) {
+				if failing.Load() {
+					return nil, syscall.EMFILE
+				}
+				return network.Machine("10.0.0.1").Listen(address)
+			},
+		}
+		if err := listener.Open(); err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_ = conn.Close()
+			}
+		}()
+		dial := network.Machine("10.0.0.2").Dial
+		p.busyFor(time.Second, 100*time.Millisecond)
+		failing.Store(true)
+		for range 200 {
+			if conn, err := dial(t.Context(), "tcp", "10.0.0.1:80"); err == nil {
+				_ = conn.Close()
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if !listener.Failing() {
+			t.Error("a closed address isn't told")
+		}
+		failing.Store(false)
+		time.Sleep(100 * time.Millisecond)
+		if _, err := dial(t.Context(), "tcp", "10.0.0.1:80"); err != nil || listener.Failing() {
+			t.Errorf("%v, failing: %v", err, listener.Failing())
+		}
+		if err := listener.Close(); err != nil {
+			t.Error(err)
+		}
+		<-ended
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// With the operating system's sockets, an address that was closed for a while is the same one after that, and
+// connections that were open stay open.
+func TestConnectionsOutlastTheirAddress(t *testing.T) {
+	g, p := newGate()
+	listener := &overload.Listener{
+		Clock: g.Clock, Log: g.Log, Gate: g, Address: "127.0.0.1:0",
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+	}
+	if err := listener.Open(); err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	taken := make(chan net.Conn, 1000)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			taken <- conn
+		}
+	}()
+	first, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := <-taken
+	p.busyFor(600*time.Millisecond, 60*time.Millisecond)
+	refused := 0
+	for range 300 {
+		if conn, err := net.Dial("tcp", address); err == nil {
+			_ = conn.Close()
+		} else {
+			refused++
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if refused == 0 {
+		t.Error("nobody was refused")
+	}
+	if _, err := first.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+	if count, err := served.Read(make([]byte, 1)); count != 1 || err != nil {
+		t.Errorf("%d bytes, %v", count, err)
+	}
+	for tries := 0; ; tries++ {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			break
+		}
+		if tries > 500 {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := listener.Close(); err != nil {
+		t.Error(err)
+	}
+	<-ended
+}
+
 // Callers that come without a pause don't keep the address open: each of them that was there already was taken as it
 // closed, and by then there was the next.
 func TestCrowdsWithoutAPauseAreRefused(t *testing.T) {
