--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -9,8 +9,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -24,6 +27,9 @@
 // caseLimit bounds the time of one case.
 const caseLimit = 115 * time.Second
 
+// errNothingServed means that a run shows nothing, neither that the rule holds nor that it was broken.
+var errNothingServed = errors.New("no request was served whole")
+
 // scenario plays a case and returns whether the rule was broken.
 type scenario func(w *world) (broken bool, err error)
 
@@ -57,6 +63,14 @@
 	})
 	defer overtime.Stop()
 	defer w.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.note("the case was interrupted")
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(w)
 	switch {
 	case err != nil:
--- a/review/cases/mixed.go
+++ b/review/cases/mixed.go
@@ -62,7 +62,7 @@
 	}
 	cancel()
 	<-done
-	return w.judgeMixed(c.all()), nil
+	return w.judgeMixed(c.all())
 }
 
 // crashEngines kills all engines at once and starts others in their place later. Without trouble it only waits.
@@ -98,7 +98,7 @@
 }
 
 // judgeMixed looks for complete successes whose body is not the whole one.
-func (w *world) judgeMixed(replies []*reply) bool {
+func (w *world) judgeMixed(replies []*reply) (bool, error) {
 	whole, failed, cut := 0, 0, 0
 	for _, r := range replies {
 		switch {
@@ -112,5 +112,8 @@
 		}
 	}
 	w.note("%d whole answers, %d failures or broken connections, %d cut answers that look complete", whole, failed, cut)
-	return cut > 0
+	if whole == 0 {
+		return false, errNothingServed
+	}
+	return cut > 0, nil
 }
--- a/review/cases/silent.go
+++ b/review/cases/silent.go
@@ -60,5 +60,5 @@
 	if err != nil {
 		return false, err
 	}
-	return w.judgeTerm(c.all(), stopped, firstAt), nil
+	return w.judgeTerm(c.all(), stopped, firstAt)
 }
--- a/review/cases/term.go
+++ b/review/cases/term.go
@@ -58,13 +58,13 @@
 	w.note("%s has ended: %v", stopped.name, stopped.command.ProcessState)
 	cancel()
 	<-done
-	return w.judgeTerm(c.all(), stopped, firstAt), nil
+	return w.judgeTerm(c.all(), stopped, firstAt)
 }
 
 // judgeTerm looks for requests to the stopped node that targets began to run and that got no complete answer. Those
 // that were sent later than 3 s after the signal, or that a target still worked on in the last sixth of the grace
 // time, don't count.
-func (w *world) judgeTerm(replies []*reply, stopped *node, firstAt time.Time) bool {
+func (w *world) judgeTerm(replies []*reply, stopped *node, firstAt time.Time) (bool, error) {
 	lost, served := 0, 0
 	for _, r := range replies {
 		if r.node != stopped || r.sentAt.After(firstAt.Add(3*time.Second)) {
@@ -80,5 +80,8 @@
 		}
 	}
 	w.note("%d answered, %d lost at %s", served, lost, stopped.name)
-	return lost > 0
+	if served == 0 {
+		return false, errNothingServed
+	}
+	return lost > 0, nil
 }
