Review case 6: half an answer looks complete after the crash of one server

Shows that clients get 200 with a server's signature and half of its body, complete by its length, when a server whose answers have no length is killed (rule MIXED).

--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 var cases = map[string]func(*stage) error{
 	"leaders": leaders,
 	"silence": silence,
+	"crash":   crash,
 }
 
 const (
@@ -28,6 +30,14 @@
 }
 
 func run() int {
+	if len(os.Args) == 4 && os.Args[1] == "serve" {
+		millis, err := strconv.Atoi(os.Args[3])
+		if err == nil {
+			err = serve(os.Args[2], time.Duration(millis)*time.Millisecond)
+		}
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stage2 CASE RECORD")
 		return exitFailed
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -34,7 +34,9 @@
 	store    *store
 	machines []*machine
 	servers  []*server
-	clients  *clients
+	// processes are the servers that have processes of their own.
+	processes []*process
+	clients   *clients
 
 	mu      sync.Mutex
 	closing sync.Once
@@ -59,6 +61,9 @@
 		for _, m := range s.machines {
 			m.kill()
 		}
+		for _, p := range s.processes {
+			p.kill()
+		}
 		if s.folder != "" && os.Getenv("KEEP") == "" {
 			_ = os.RemoveAll(s.folder)
 		}
@@ -166,6 +171,11 @@
 			runs[a.id] = append(runs[a.id], a)
 		}
 	}
+	for _, p := range s.processes {
+		for _, a := range p.all() {
+			runs[a.id] = append(runs[a.id], a)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, one := range s.clients.all() {
