Review case 10: a second SIGTERM ends a draining process at once

Shows that requests at work at sound servers lose their connections when a machine that drains gets SIGTERM once more (rule LOST).

--- a/review/stage2/clients.go
+++ b/review/stage2/clients.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -36,17 +37,24 @@
 func (c *clients) run(ctx context.Context, m *machine, method, path string, pause, deadline time.Duration) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: deadline + time.Second}
 	for ctx.Err() == nil {
-		c.send(client, m, method, path, deadline)
+		told := c.send(client, m, method, path, deadline)
+		// Clients honour Retry-After for no more than a third of the time that they have left.
+		rest := max(rand.N(2*pause), min(told, deadline/3))
 		select {
 		case <-ctx.Done():
-		case <-time.After(rand.N(2 * pause)):
+		case <-time.After(rest):
 		}
 	}
 }
 
-func (c *clients) send(client *http.Client, m *machine, method, path string, deadline time.Duration) {
+// send sends one request and returns the Retry-After of its answer.
+func (c *clients) send(client *http.Client, m *machine, method, path string, deadline time.Duration) (told time.Duration) {
 	one := call{id: fmt.Sprintf("%016x", rand.Uint64()), path: path, machine: m.name}
-	request, err := http.NewRequest(method, "http://"+m.callers+path, strings.NewReader(one.id))
+	var body io.Reader
+	if method != http.MethodGet {
+		body = strings.NewReader(one.id)
+	}
+	request, err := http.NewRequest(method, "http://"+m.callers+path, body)
 	if err != nil {
 		panic(err)
 	}
@@ -58,9 +66,12 @@
 	response, err := client.Do(request)
 	if err == nil {
 		one.status, one.signed = response.StatusCode, response.Header.Get("X-Shelfshelf-Response-Signature")
-		var body []byte
-		body, err = io.ReadAll(response.Body)
-		one.body = string(body)
+		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+			told = time.Duration(seconds * float64(time.Second))
+		}
+		var content []byte
+		content, err = io.ReadAll(response.Body)
+		one.body = string(content)
 		_ = response.Body.Close()
 	}
 	if err != nil {
@@ -70,6 +81,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls = append(c.calls, one)
+	return told
 }
 
 func (c *clients) all() []call {
--- a/review/stage2/crash.go
+++ b/review/stage2/crash.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	for i := range processCnt {
-		p, err := newProcess("i-000"+string(rune('1'+i)), "app", zones[i], answerTime)
+		p, err := newProcess("i-000"+string(rune('1'+i)), "app", zones[i], answerTime, false)
 		if err != nil {
 			return err
 		}
--- a/review/stage2/machine.go
+++ b/review/stage2/machine.go
@@ -69,6 +69,11 @@
 	return nil
 }
 
+// signal sends a signal to the process.
+func (m *machine) signal(signal syscall.Signal) {
+	_ = m.command.Process.Signal(signal)
+}
+
 // kill ends the process, if it runs.
 func (m *machine) kill() {
 	if m.command == nil || m.command.Process == nil {
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"os"
-	"strconv"
 	"time"
 )
 
@@ -14,6 +13,8 @@
 var cases = map[string]func(*stage) error{
 	"leaders": leaders,
 	"silence": silence,
+	"popular": popular,
+	"term":    term,
 	"crash":   crash,
 }
 
@@ -23,6 +24,8 @@
 	exitFailed = 2
 	// mostTime bounds a case.
 	mostTime = 110 * time.Second
+	// serveArguments is how many arguments a server in a process of its own has.
+	serveArguments = 5
 )
 
 func main() {
@@ -30,10 +33,10 @@
 }
 
 func run() int {
-	if len(os.Args) == 4 && os.Args[1] == "serve" {
-		millis, err := strconv.Atoi(os.Args[3])
+	if len(os.Args) == serveArguments && os.Args[1] == "serve" {
+		work, err := time.ParseDuration(os.Args[3])
 		if err == nil {
-			err = serve(os.Args[2], time.Duration(millis)*time.Millisecond)
+			err = serve(os.Args[2], work, os.Args[4] == "true")
 		}
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/review/stage2/process.go
+++ b/review/stage2/process.go
@@ -19,9 +19,9 @@
 	return "begin " + server + " " + id + " end"
 }
 
-// serve is a server in a process of its own. It answers without a length: the answer ends with its connection. Half of
-// the body comes at once, the rest after the time that the work takes. Each run is told on standard output.
-func serve(id string, work time.Duration) error {
+// serve is a server in a process of its own. Half of the body comes at once, the rest after the time that the work
+// takes. Without a length, an answer ends with its connection. Each run is told on standard output.
+func serve(id string, work time.Duration, framed bool) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -32,12 +32,12 @@
 		if err != nil {
 			return err
 		}
-		go answer(connection, id, work)
+		go answer(connection, id, work, framed)
 	}
 }
 
 // answer serves the one request of a connection.
-func answer(connection net.Conn, server string, work time.Duration) {
+func answer(connection net.Conn, server string, work time.Duration, framed bool) {
 	defer func() { _ = connection.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(connection))
 	if err != nil {
@@ -51,6 +51,9 @@
 	}
 	fmt.Println("run", id)
 	body := bodyOf(server, id)
+	if framed {
+		head += "Connection: close\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
 	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%sX-Shelfshelf-Response-Signature: %s.%s\r\n\r\n%s", head, server, id, body[:len(body)/2])
 	time.Sleep(work)
 	_, _ = fmt.Fprint(connection, body[len(body)/2:])
@@ -70,8 +73,10 @@
 	runs []arrival
 }
 
-func newProcess(id, service, zone string, work time.Duration) (*process, error) {
-	p := &process{id: id, service: service, zone: zone, command: exec.Command(os.Args[0], "serve", id, strconv.Itoa(int(work.Milliseconds())))}
+// newProcess starts a server; framed says that its answers have a length.
+func newProcess(id, service, zone string, work time.Duration, framed bool) (*process, error) {
+	p := &process{id: id, service: service, zone: zone}
+	p.command = exec.Command(os.Args[0], "serve", id, work.String(), strconv.FormatBool(framed))
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.command.StdoutPipe()
 	if err != nil {
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -16,6 +16,8 @@
 	key        = "k3y0f7en4nt"
 	oncePrefix = "/once/"
 	oncePath   = oncePrefix + "2f"
+	// boardPath is a page that many clients ask for.
+	boardPath = "/board/"
 
 	// The bounds are those of the small deployments.
 	drainBound = 2 * time.Second
@@ -114,10 +116,16 @@
 		"Routes": []map[string]any{{
 			"Name": "r-once", "Host": host, "PathPrefix": oncePrefix, "Kind": "non_idempotent", "TimeoutMs": 1500, "GoalMs": 300,
 			"Priority": 1, "Service": "app", "MaxAttempts": 1, "Public": false,
+		}, {
+			"Name": "r-board", "Host": host, "PathPrefix": boardPath, "Kind": "idempotent", "TimeoutMs": 3000, "GoalMs": 800,
+			"Priority": 1, "Service": "board", "MaxAttempts": 1, "Public": false,
 		}},
-		"Services": []map[string]any{{"Name": "app", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants":  []map[string]any{{"Name": "tenant", "ApiKeys": []string{key}, "Priority": 1, "PlainTokens": 200, "RatePerS": 0, "Burst": 0}},
+		"Services": []map[string]any{
+			{"Name": "app", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false},
+			{"Name": "board", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false},
+		},
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants": []map[string]any{{"Name": "tenant", "ApiKeys": []string{key}, "Priority": 1, "PlainTokens": 200, "RatePerS": 0, "Burst": 0}},
 	})
 }
 
