--- a/review/stage2/crash.go
+++ b/review/stage2/crash.go
@@ -40,9 +40,9 @@
 	running := s.send(sending, eachSender)
 	time.Sleep(6 * time.Second)
 	if s.trouble {
-		p := s.processes[0]
+		p, atWork := s.busiest()
 		p.kill()
-		s.note("server %s has crashed", p.id)
+		s.note("server %s has crashed with %d requests at work or more", p.id, atWork)
 	}
 	time.Sleep(4 * time.Second)
 	cancel()
@@ -52,6 +52,22 @@
 	return nil
 }
 
+// busiest returns the server with the most requests that have begun lately, and their number.
+func (s *stage) busiest() (busiest *process, most int) {
+	for _, p := range s.processes {
+		count := 0
+		for _, a := range p.all() {
+			if time.Since(a.at) < answerTime*3/4 {
+				count++
+			}
+		}
+		if busiest == nil || count > most {
+			busiest, most = p, count
+		}
+	}
+	return busiest, most
+}
+
 // judgeBodies counts the successes whose body isn't the server's whole body, although they looked complete.
 func judgeBodies(s *stage) {
 	answers := make(map[int]int)
--- a/review/stage2/process.go
+++ b/review/stage2/process.go
@@ -118,7 +118,7 @@
 // row is the server's entry in the store.
 func (p *process) row() map[string]any {
 	return map[string]any{
-		"Service": p.service, "Address": p.address, "Zone": p.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdMs": 0, "Sequence": 1,
+		"Service": p.service, "Address": p.address, "Zone": p.zone, "Version": "v1", "Slots": 16, "State": "ready", "ColdMs": 0, "Sequence": 1,
 	}
 }
 
