--- a/review/stage2/drain.go
+++ b/review/stage2/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -41,7 +42,7 @@
 		running.Wait()
 	}
 	time.Sleep(6 * time.Second)
-	return stop, nil
+	return stop, s.awaitFlow()
 }
 
 // replace starts a new server and has an old one drain half a second later, as a release does, and end after its time.
@@ -57,6 +58,7 @@
 
 // drain has a server say that it drains, serve on for DrainMs and a little longer, and end.
 func drain(s *stage, old *server, longer time.Duration) leaving {
+	old.leaves.Store(true)
 	gone := leaving{server: old, acked: s.store.put("servers", old.id, old.row("draining"))}
 	s.noteAt(gone.acked, "%s is draining: acknowledged by the store", old.id)
 	time.AfterFunc(drainBound+longer, func() {
@@ -78,8 +80,8 @@
 	for _, l := range gone {
 		for _, a := range l.server.all() {
 			late := a.at.Sub(l.acked)
-			one := calls[a.id]
-			if late <= drainBound || !inTouch(one.machine, one.sent) {
+			one, known := calls[a.id]
+			if !known || late <= drainBound || !inTouch(one.machine, one.sent) {
 				continue
 			}
 			s.broken++
@@ -135,7 +137,7 @@
 	time.Sleep(within)
 	for _, m := range cut {
 		if err := m.store.mend(); err != nil {
-			s.note("the link of %s did not come back: %v", m.name, err)
+			s.fail(fmt.Errorf("the link of %s did not come back: %w", m.name, err))
 		}
 	}
 	s.note("they reach the store again")
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -35,8 +38,12 @@
 func run() int {
 	if len(os.Args) == serveArguments && os.Args[1] == "serve" {
 		work, err := time.ParseDuration(os.Args[3])
+		var unframed float64
 		if err == nil {
-			err = serve(os.Args[2], work, os.Args[4] == "true")
+			unframed, err = strconv.ParseFloat(os.Args[4], 64)
+		}
+		if err == nil {
+			err = serve(os.Args[2], work, unframed)
 		}
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -58,10 +65,21 @@
 		os.Exit(exitFailed)
 	})
 	defer watchdog.Stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-interrupted
+		s.close()
+		os.Exit(exitFailed)
+	}()
 	if err := cases[os.Args[1]](s); err != nil {
 		s.note("could not run: %v", err)
 		return exitFailed
 	}
+	if err := s.failure(); err != nil {
+		s.note("could not run: %v", err)
+		return exitFailed
+	}
 	if s.broken > 0 {
 		return exitBroken
 	}
--- a/review/stage2/popular.go
+++ b/review/stage2/popular.go
@@ -45,6 +45,9 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
+	if err := s.awaitFlow(); err != nil {
+		return err
+	}
 	if s.trouble {
 		first := s.processes
 		for _, p := range first {
@@ -72,7 +75,7 @@
 // startBoard starts the servers of the service.
 func (s *stage) startBoard(name string, zones []string) error {
 	for i := range boardServers {
-		p, err := newProcess(fmt.Sprintf("i-%s-%02d", name, i), "board", zones[i%len(zones)], boardWork, true)
+		p, err := newProcess(fmt.Sprintf("i-%s-%02d", name, i), "board", zones[i%len(zones)], boardWork, 0)
 		if err != nil {
 			return err
 		}
--- a/review/stage2/process.go
+++ b/review/stage2/process.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,14 +16,17 @@
 	"time"
 )
 
+// runFields is how many words a server says of a run.
+const runFields = 3
+
 // bodyOf is the whole body of a server's answer.
 func bodyOf(server, id string) string {
 	return "begin " + server + " " + id + " end"
 }
 
 // serve is a server in a process of its own. Half of the body comes at once, the rest after the time that the work
-// takes. Without a length, an answer ends with its connection. Each run is told on standard output.
-func serve(id string, work time.Duration, framed bool) error {
+// takes. A share of the answers lacks a length and ends with its connection. Each run is told on standard output.
+func serve(id string, work time.Duration, unframed float64) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -32,15 +37,33 @@
 		if err != nil {
 			return err
 		}
-		go answer(connection, id, work, framed)
+		go answerAll(connection, id, work, unframed)
 	}
 }
 
-// answer serves the one request of a connection.
-func answer(connection net.Conn, server string, work time.Duration, framed bool) {
+// answerAll serves the requests of a connection, one after the other.
+func answerAll(connection net.Conn, server string, work time.Duration, unframed float64) {
 	defer func() { _ = connection.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(connection))
-	if err != nil {
+	for reader := bufio.NewReader(connection); ; {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		framed := rand.Float64() >= unframed
+		answer(connection, request, server, work, framed)
+		if !framed {
+			return
+		}
+	}
+}
+
+// answer serves one request.
+func answer(connection net.Conn, request *http.Request, server string, work time.Duration, framed bool) {
+	if request.URL.Path == healthPath {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Shelfshelf-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", server)
 		return
 	}
 	id := request.Header.Get("X-Shelfshelf-Request-Id")
@@ -49,11 +72,15 @@
 		_, _ = fmt.Fprintf(connection, "HTTP/1.1 421 Misdirected Request\r\n%sX-Shelfshelf-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", head, server)
 		return
 	}
-	fmt.Println("run", id)
+	kind := "whole"
 	body := bodyOf(server, id)
 	if framed {
-		head += "Connection: close\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"
+		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	} else {
+		kind = "unframed"
+		head += "Connection: close\r\n"
 	}
+	fmt.Println("run", id, kind)
 	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%sX-Shelfshelf-Response-Signature: %s.%s\r\n\r\n%s", head, server, id, body[:len(body)/2])
 	time.Sleep(work)
 	_, _ = fmt.Fprint(connection, body[len(body)/2:])
@@ -65,7 +92,12 @@
 	service string
 	zone    string
 	address string
-	command *exec.Cmd
+	// unframed is the share of answers without a length.
+	unframed float64
+	command  *exec.Cmd
+	started  time.Time
+	// down says that it was killed.
+	down bool
 	// resting are connections of other callers.
 	resting []net.Conn
 
@@ -73,10 +105,10 @@
 	runs []arrival
 }
 
-// newProcess starts a server; framed says that its answers have a length.
-func newProcess(id, service, zone string, work time.Duration, framed bool) (*process, error) {
-	p := &process{id: id, service: service, zone: zone}
-	p.command = exec.Command(os.Args[0], "serve", id, work.String(), strconv.FormatBool(framed))
+// newProcess starts a server; unframed is the share of its answers without a length.
+func newProcess(id, service, zone string, work time.Duration, unframed float64) (*process, error) {
+	p := &process{id: id, service: service, zone: zone, unframed: unframed, started: time.Now()}
+	p.command = exec.Command(os.Args[0], "serve", id, work.String(), strconv.FormatFloat(unframed, 'f', -1, 64))
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.command.StdoutPipe()
 	if err != nil {
@@ -97,8 +129,12 @@
 // read notes the runs that the process tells.
 func (p *process) read(lines *bufio.Scanner) {
 	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) != runFields {
+			continue
+		}
 		p.mu.Lock()
-		p.runs = append(p.runs, arrival{id: strings.TrimPrefix(lines.Text(), "run "), server: p.id, at: time.Now()})
+		p.runs = append(p.runs, arrival{id: fields[1], server: p.id, at: time.Now(), unframed: fields[2] == "unframed"})
 		p.mu.Unlock()
 	}
 }
--- a/review/stage2/server.go
+++ b/review/stage2/server.go
@@ -17,6 +17,8 @@
 	at     time.Time
 	// ended is when the answer was written or the caller had left; zero if the server ended before.
 	ended time.Time
+	// unframed says that the answer lacks a length.
+	unframed bool
 }
 
 // server is a server of a plain service: it works for a fixed time and answers.
@@ -28,6 +30,7 @@
 	work    time.Duration
 	http    *http.Server
 	over    atomic.Bool
+	leaves  atomic.Bool
 
 	mu       sync.Mutex
 	arrivals []*arrival
@@ -59,6 +62,13 @@
 
 // ServeHTTP serves one request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		w.Header().Set("X-Shelfshelf-Instance-Id", s.id)
+		if s.leaves.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	id := r.Header.Get("X-Shelfshelf-Request-Id")
 	w.Header().Set("X-Shelfshelf-Request-Id", id)
 	if r.Header.Get("X-Shelfshelf-Expect-Instance") != s.id {
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -18,10 +18,15 @@
 	oncePath   = oncePrefix + "2f"
 	// boardPath is a page that many clients ask for.
 	boardPath = "/board/"
+	// healthPath is that of the services.
+	healthPath = "/health"
 
 	// The bounds are those of the small deployments.
 	drainBound = 2 * time.Second
 	contact    = 3 * time.Second
+
+	// leastServed is how many requests each machine has to serve before the disruption.
+	leastServed = 10
 )
 
 // stage is a small deployment on loopback addresses.
@@ -41,6 +46,7 @@
 	clients   *clients
 
 	mu      sync.Mutex
+	failed  error
 	closing sync.Once
 }
 
@@ -57,6 +63,35 @@
 	fmt.Print(line)
 }
 
+// fail notes that a part of the case couldn't be carried out.
+func (s *stage) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = err
+}
+
+func (s *stage) failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// awaitFlow fails unless each machine has served some requests: without traffic a case shows nothing.
+func (s *stage) awaitFlow() error {
+	served := make(map[string]int)
+	for _, one := range s.clients.all() {
+		if one.status == 200 && one.failure == "" {
+			served[one.machine]++
+		}
+	}
+	for _, m := range s.machines {
+		if served[m.name] < leastServed {
+			return fmt.Errorf("%s served %d requests before the disruption", m.name, served[m.name])
+		}
+	}
+	return nil
+}
+
 // close ends all processes.
 func (s *stage) close() {
 	s.closing.Do(func() {
@@ -121,8 +156,8 @@
 			"Priority": 1, "Service": "board", "MaxAttempts": 1, "Public": false,
 		}},
 		"Services": []map[string]any{
-			{"Name": "app", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false},
-			{"Name": "board", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false},
+			{"Name": "app", "HealthPath": healthPath, "MaxConns": 100, "Protocol": "h1", "Tls": false},
+			{"Name": "board", "HealthPath": healthPath, "MaxConns": 100, "Protocol": "h1", "Tls": false},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []map[string]any{{"Name": "tenant", "ApiKeys": []string{key}, "Priority": 1, "PlainTokens": 200, "RatePerS": 0, "Burst": 0}},
--- a/review/stage2/term.go
+++ b/review/stage2/term.go
@@ -29,6 +29,10 @@
 	sending, cancel := context.WithCancel(context.Background())
 	running := s.send(sending, perSender)
 	time.Sleep(5 * time.Second)
+	if err := s.awaitFlow(); err != nil {
+		cancel()
+		return err
+	}
 	stopped := s.machines[1]
 	began := time.Now()
 	stopped.signal(syscall.SIGTERM)
