review: successes without a signature reach callers

Shows that an answer 200 without the server's signature, as a server that hands out wrong bytes sends it, is passed on to the caller as a success: whether an answer is signed is read and not looked at.

--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -18,7 +18,8 @@
 
 // cases are the cases by name. The second result is false without the case's disruption.
 var cases = map[string]func(w *world, trouble bool) error{
-	"silence": playSilence,
+	"silence":  playSilence,
+	"unsigned": playUnsigned,
 }
 
 func main() {
--- /dev/null
+++ b/review/stage3/unsigned.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The requests of the case: one answer in spoiledOneIn has a wrong byte, which is the share 0.02 that the pages name.
+const (
+	plainRequests  = 600
+	plainClients   = 6
+	spoiledOneIn   = 50
+	plainTime      = time.Second
+	signatureName  = "X-Shelfshelf-Response-Signature"
+	spoiledName    = "X-Shelfshelf-Response-Segnature"
+	plainWork      = 5 * time.Millisecond
+	plainBodyBytes = 800
+)
+
+// plainServer is a server of a plain service, which hands out wrong bytes now and then.
+type plainServer struct {
+	world   *world
+	id      string
+	answers atomic.Int64
+	spoiled atomic.Int64
+}
+
+func (s *plainServer) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Shelfshelf-Request-Id")
+	rw.Header().Set("X-Shelfshelf-Request-Id", id)
+	if r.Header.Get("X-Shelfshelf-Expect-Instance") != s.id {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(plainWork)
+	name := signatureName
+	if s.answers.Add(1)%spoiledOneIn == 0 && s.world.trouble {
+		// One byte of the head is wrong.
+		name = spoiledName
+		s.spoiled.Add(1)
+		s.world.note("%s spoils a byte of its answer to %s: %s", s.id, id, name)
+	}
+	rw.Header().Set(name, s.id+"."+id)
+	rw.Header().Set("X-Shelfshelf-Server-Load", "1,0,6")
+	_, _ = io.WriteString(rw, strings.Repeat("x", plainBodyBytes))
+}
+
+// unsignedClients counts what the clients get.
+type unsignedClients struct {
+	world    *world
+	next     atomic.Int64
+	signed   atomic.Int64
+	unsigned atomic.Int64
+	failed   atomic.Int64
+}
+
+func (c *unsignedClients) run(n *node, wait *sync.WaitGroup) {
+	defer wait.Done()
+	client := &http.Client{Timeout: plainTime, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for number := c.next.Add(1); number <= plainRequests; number = c.next.Add(1) {
+		c.send(client, n, fmt.Sprint("r", number))
+	}
+}
+
+func (c *unsignedClients) send(client *http.Client, n *node, id string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+n.callers+"/vouchers/"+id, http.NoBody)
+	if err != nil {
+		c.failed.Add(1)
+		return
+	}
+	request.Host = "h.example"
+	request.Header.Set("X-Shelfshelf-Request-Id", id)
+	request.Header.Set("X-Shelfshelf-Request-Deadline", strconv.FormatInt(plainTime.Milliseconds(), 10))
+	request.Header.Set("Authorization", "Bearer key-of-a")
+	response, err := client.Do(request)
+	if err != nil {
+		c.failed.Add(1)
+		c.world.note("%s: %v", id, err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	switch {
+	case err != nil || response.StatusCode != http.StatusOK:
+		c.failed.Add(1)
+		c.world.note("%s: status %d, error %v", id, response.StatusCode, err)
+	case response.Header.Get(signatureName) == "":
+		c.unsigned.Add(1)
+		c.world.note("%s: status 200 with %d bytes and without a signature", id, len(body))
+	default:
+		c.signed.Add(1)
+	}
+}
+
+// playUnsigned has servers hand out wrong bytes. No success without a server's signature is to reach a client.
+func playUnsigned(w *world, trouble bool) error {
+	w.trouble = trouble
+	servers, err := w.setUpPlain()
+	if err != nil {
+		return err
+	}
+	c := &unsignedClients{world: w}
+	var wait sync.WaitGroup
+	for i := range plainClients {
+		wait.Add(1)
+		go c.run(w.nodes[i%len(w.nodes)], &wait)
+	}
+	wait.Wait()
+	spoiled := int64(0)
+	for _, s := range servers {
+		spoiled += s.spoiled.Load()
+	}
+	w.note("%d answers were spoiled; clients got %d successes with a signature, %d without one, %d failures",
+		spoiled, c.signed.Load(), c.unsigned.Load(), c.failed.Load())
+	switch {
+	case c.unsigned.Load() > 0:
+		return fmt.Errorf("%w: MIXED, %d successes lack a signature", errBroken, c.unsigned.Load())
+	case c.signed.Load() < plainRequests/2:
+		return fmt.Errorf("only %d of %d requests were served", c.signed.Load(), plainRequests)
+	}
+	return nil
+}
+
+func (w *world) setUpPlain() ([]*plainServer, error) {
+	err := w.put("op", "config", object{
+		"Version": 1,
+		"Routes": []object{{
+			"Name": "vouchers", "Host": "h.example", "PathPrefix": "/vouchers/", "Kind": "idempotent", "TimeoutMs": 1000, "GoalMs": 100,
+			"Priority": 2, "Service": "topup", "MaxAttempts": 2, "Public": false,
+		}},
+		"Services": []object{{"Name": "topup", "HealthPath": "/health"}},
+		"Tenants":  []object{{"Name": "a", "ApiKeys": []string{"key-of-a"}}},
+		"Limits":   object{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+	})
+	if err != nil {
+		return nil, err
+	}
+	var servers []*plainServer
+	for i := range 4 {
+		s := &plainServer{world: w, id: fmt.Sprint("i-", i)}
+		address, err := serve(s)
+		if err != nil {
+			return nil, err
+		}
+		entry := object{"Service": "topup", "Address": address, "Zone": "north", "Version": "v1", "Slots": 6, "State": "ready", "Sequence": 1}
+		if err := w.put("servers", s.id, entry); err != nil {
+			return nil, err
+		}
+		servers = append(servers, s)
+	}
+	zones := map[string]string{"north": "land"}
+	for i := range 2 {
+		if _, err := w.addNode(fmt.Sprint("edge-north-", i+1), "north", zones); err != nil {
+			return nil, err
+		}
+	}
+	return servers, w.awaitReady()
+}
