review: routes of many ranks hang a process

Shows that the work to decide on one request doubles with each rank of the routes of a service, under the lock that all requests take. With 40 routes of a rank each, a process answers nothing any more, and calls itself ready.

--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(w *world, trouble bool) error{
 	"silence":  playSilence,
 	"unsigned": playUnsigned,
+	"ranks":    playRanks,
 }
 
 func main() {
