--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -16,11 +18,10 @@
 // errBroken means that the case's rule was broken.
 var errBroken = errors.New("the rule was broken")
 
-// cases are the cases by name. The second result is false without the case's disruption.
-var cases = map[string]func(w *world, trouble bool) error{
-	"silence":  playSilence,
-	"unsigned": playUnsigned,
+// cases are the cases by name.
+var cases = map[string]func(*world) error{
 	"ranks":    playRanks,
+	"unsigned": playUnsigned,
 }
 
 func main() {
@@ -32,12 +33,13 @@
 		fmt.Fprintln(os.Stderr, "usage: stage3 CASE RECORD")
 		return exitNotRun
 	}
-	w, err := newWorld(args[1])
+	w, err := newWorld(args[1], os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	err = cases[args[0]](w, os.Getenv("TROUBLE") != "0")
+	go w.endAtSignal()
+	err = cases[args[0]](w)
 	w.end()
 	switch {
 	case errors.Is(err, errBroken):
@@ -50,3 +52,12 @@
 	w.note("HELD")
 	return exitHeld
 }
+
+// endAtSignal ends the processes and the case if the script is interrupted.
+func (w *world) endAtSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	w.note("NOT RUN: %v", <-signals)
+	w.end()
+	os.Exit(exitNotRun)
+}
--- a/review/stage3/ranks.go
+++ b/review/stage3/ranks.go
@@ -185,13 +185,12 @@
 
 // playRanks has the configuration grow by routes that have a rank each. Requests are to be answered by the time of their
 // route.
-func playRanks(w *world, trouble bool) error {
-	w.trouble = trouble
+func playRanks(w *world) error {
 	if err := w.setUpRanks(); err != nil {
 		return err
 	}
 	routes := firstRanks
-	if trouble {
+	if w.trouble {
 		routes = rankedRoutes
 		if err := w.put("op", "config", rankedConfiguration(2, routes)); err != nil {
 			return err
--- a/review/stage3/unsigned.go
+++ b/review/stage3/unsigned.go
@@ -101,8 +101,7 @@
 }
 
 // playUnsigned has servers hand out wrong bytes. No success without a server's signature is to reach a client.
-func playUnsigned(w *world, trouble bool) error {
-	w.trouble = trouble
+func playUnsigned(w *world) error {
 	servers, err := w.setUpPlain()
 	if err != nil {
 		return err
--- a/review/stage3/world.go
+++ b/review/stage3/world.go
@@ -19,9 +19,8 @@
 
 type object map[string]any
 
-// The bounds of the small deployments.
+// How long the set-up of a case may take.
 const (
-	graceTime  = 8 * time.Second
 	readyLimit = 20 * time.Second
 	settleTime = 2 * time.Second
 	storeLimit = 10 * time.Second
@@ -36,6 +35,7 @@
 	began    time.Time
 	// trouble is false without the disruption of the case.
 	trouble bool
+	ended   sync.Once
 
 	mu     sync.Mutex
 	record *os.File
@@ -52,7 +52,7 @@
 	ended    chan struct{}
 }
 
-func newWorld(record string) (*world, error) {
+func newWorld(record string, trouble bool) (*world, error) {
 	file, err := os.Create(record)
 	if err != nil {
 		return nil, err
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{folder: folder, platform: fake.NewPlatform(clockwork.NewRealClock()), record: file, began: time.Now()}
+	w := &world{folder: folder, platform: fake.NewPlatform(clockwork.NewRealClock()), record: file, began: time.Now(), trouble: trouble}
 	if w.store, err = serve(w.platform.Handler()); err != nil {
 		return nil, err
 	}
@@ -140,12 +140,6 @@
 	close(n.ended)
 }
 
-// signal sends a signal to the process.
-func (w *world) signal(n *node, signal syscall.Signal) error {
-	w.note("%s gets %v", n.name, signal)
-	return n.command.Process.Signal(signal)
-}
-
 // awaitReady waits until all processes call themselves ready, as the platform asks them.
 func (w *world) awaitReady() error {
 	client := &http.Client{Timeout: time.Second}
@@ -174,7 +168,9 @@
 }
 
 // end ends all processes that were started, and removes the folder.
-func (w *world) end() {
+func (w *world) end() { w.ended.Do(w.endProcesses) }
+
+func (w *world) endProcesses() {
 	for _, n := range w.nodes {
 		if n.command == nil || n.command.Process == nil {
 			continue
@@ -184,7 +180,5 @@
 		<-n.ended
 		_ = n.log.Close()
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(w.folder)
-	}
+	_ = os.RemoveAll(w.folder)
 }
